--- /dev/null
+++ b/lib/base/base.h
@@ -0,0 +1,204 @@
+/*
+ * base: what every part needs: log, last messages, clocks, timer service, counters, settings, ids.
+ * All durations are microseconds (us) of the monotonic clock unless a name says otherwise.
+ */
+#ifndef CS_BASE_H
+#define CS_BASE_H
+
+#include <sys/types.h>
+#include <bsd/sys/cdefs.h>
+#include <bsd/sys/queue.h>
+#include <bsd/sys/tree.h>
+#include <ev.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define CS_UNUSED __attribute__((unused))
+
+/* Red-black tree functions with internal linkage; some may stay unused. */
+#define CS_RB_GENERATE(name, type, field, cmp)                                                     \
+	RB_GENERATE_INTERNAL(name, type, field, cmp, CS_UNUSED static)
+
+#define CS_US_PER_MS 1000ULL
+#define CS_US_PER_S 1000000ULL
+
+/* Log levels with syslog's numbers. */
+enum cs_level { CS_ERR = 3, CS_WARNING = 4, CS_NOTICE = 5, CS_INFO = 6, CS_DEBUG = 7 };
+
+/* State of one log call site, used to limit repeated lines to CS_LOG_BURST a second. */
+struct cs_log_site {
+	uint64_t window_us;
+	unsigned count;
+	unsigned suppressed;
+};
+
+#define CS_LOG_BURST 10
+
+/* Sets the program name and the highest level that is written. */
+void cs_log_open(const char *ident, enum cs_level max);
+/* Parses a level name; returns -1 for an unknown one. */
+int cs_log_level_parse(const char *name);
+void cs_log_write(struct cs_log_site *site, enum cs_level level, const char *part, const char *fmt,
+		  ...) __attribute__((format(printf, 4, 5)));
+
+/* Writes one line "<level>ident: part: text"; text is a short sentence, then key=value pairs. */
+#define cs_log(level, part, ...)                                                                   \
+	do {                                                                                       \
+		static struct cs_log_site cs_site_;                                                \
+		cs_log_write(&cs_site_, level, part, __VA_ARGS__);                                 \
+	} while (0)
+
+/* Last message of an object whose functions return a status enum. */
+#define CS_MSG_MAX 256
+struct cs_msg {
+	char text[CS_MSG_MAX];
+};
+void cs_msg_set(struct cs_msg *msg, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+
+/* Allocation that ends the process on failure; sizes in bytes. */
+void *cs_xcalloc(size_t n, size_t size);
+void *cs_xrealloc(void *p, size_t n, size_t size);
+char *cs_xstrdup(const char *s);
+char *cs_xasprintf(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
+/* Copies with truncation; always terminates. Returns true if all of src fit. */
+bool cs_copy(char *dst, size_t size, const char *src);
+
+/* Monotonic time in us. */
+uint64_t cs_mono_us(void);
+/* Wall clock in ms since 1970; only for operators' deadlines and records. */
+int64_t cs_wall_ms(void);
+
+uint64_t cs_hash(const void *data, size_t len, uint64_t seed);
+uint64_t cs_hash_str(const char *s, uint64_t seed);
+/* Writes prefix and 16 random hex digits; size at least strlen(prefix) + 17. */
+void cs_random_id(char *out, size_t size, const char *prefix);
+uint64_t cs_random_u64(void);
+
+/* Fast seeded generator for decisions; not for keys. */
+struct cs_rng {
+	uint64_t state;
+};
+void cs_rng_seed(struct cs_rng *rng, uint64_t seed);
+uint64_t cs_rng_next(struct cs_rng *rng);
+/* Uniform in [0, n); n > 0. */
+uint32_t cs_rng_below(struct cs_rng *rng, uint32_t n);
+/* Uniform in [0, 1). */
+double cs_rng_unit(struct cs_rng *rng);
+
+/* Timer service: one libev timer serves all subscribers, ordered by due time. */
+struct cs_timers;
+struct cs_timer;
+typedef void (*cs_timer_cb)(struct cs_timer *timer, void *arg);
+
+struct cs_timer {
+	RB_ENTRY(cs_timer) entry;
+	uint64_t due_us;
+	uint64_t period_us; /* 0: once */
+	uint64_t order;
+	cs_timer_cb cb;
+	void *arg;
+	struct cs_timers *owner; /* NULL while stopped */
+};
+
+struct cs_timers *cs_timers_create(struct ev_loop *loop);
+void cs_timers_destroy(struct cs_timers *ts);
+/* Time of the current loop turn in monotonic us. */
+uint64_t cs_timers_now(const struct cs_timers *ts);
+/*
+ * Calls cb when the process did not run for more than limit_us between two loop turns, as after
+ * SIGSTOP; the argument is the length of the gap.
+ */
+typedef void (*cs_gap_cb)(uint64_t gap_us, void *arg);
+void cs_timers_on_gap(struct cs_timers *ts, uint64_t limit_us, cs_gap_cb cb, void *arg);
+void cs_timer_init(struct cs_timer *t, cs_timer_cb cb, void *arg);
+/* (Re)starts the timer; it fires once after delay_us. */
+void cs_timer_start(struct cs_timers *ts, struct cs_timer *t, uint64_t delay_us);
+/* (Re)starts the timer; it fires every period_us. */
+void cs_timer_start_every(struct cs_timers *ts, struct cs_timer *t, uint64_t period_us);
+void cs_timer_stop(struct cs_timer *t);
+static inline bool cs_timer_active(const struct cs_timer *t)
+{
+	return t->owner != NULL;
+}
+
+/*
+ * Histogram of durations in us, log-linear: 16 linear steps for each power of two, so that a
+ * quantile is at most 1/16 above the true value. Fixed size.
+ */
+#define CS_HIST_STEPS 16
+#define CS_HIST_POWERS 32
+struct cs_hist {
+	uint64_t count;
+	uint64_t sum_us;
+	uint32_t bucket[CS_HIST_POWERS * CS_HIST_STEPS];
+};
+void cs_hist_add(struct cs_hist *h, uint64_t us);
+/* Upper bound of the bucket that holds quantile q (0..1); 0 if empty. */
+uint64_t cs_hist_quantile(const struct cs_hist *h, double q);
+/* Number of samples in buckets whose upper bound is at most us. */
+uint64_t cs_hist_at_most(const struct cs_hist *h, uint64_t us);
+void cs_hist_merge(struct cs_hist *to, const struct cs_hist *from);
+/* Halves every bucket, for a window that forgets. */
+void cs_hist_decay(struct cs_hist *h);
+void cs_hist_clear(struct cs_hist *h);
+
+/* Registry of counters, gauges and histograms, printed in the text exposition format. */
+struct cs_metrics;
+struct cs_metrics *cs_metrics_create(void);
+void cs_metrics_destroy(struct cs_metrics *m);
+/*
+ * Each returns the value's address, valid until the registry is destroyed; the same name and labels
+ * return the same address. labels is "" or like `class="lookups"`. Names follow NAME_total, NAME_us.
+ */
+uint64_t *cs_metrics_counter(struct cs_metrics *m, const char *name, const char *labels,
+			     const char *help);
+int64_t *cs_metrics_gauge(struct cs_metrics *m, const char *name, const char *labels,
+			  const char *help);
+struct cs_hist *cs_metrics_hist(struct cs_metrics *m, const char *name, const char *labels,
+				const char *help);
+/* The whole registry as text; the caller frees it with free(). */
+char *cs_metrics_text(const struct cs_metrics *m);
+
+/* Settings table: one row a setting, shared by flags, environment, --help and docs. */
+enum cs_setting_kind { CS_SET_STRING, CS_SET_INT, CS_SET_BOOL, CS_SET_CHOICE };
+struct cs_setting {
+	const char *name; /* flag without dashes; environment is CASSIA_NAME in capitals */
+	enum cs_setting_kind kind;
+	const char *def; /* default as text; NULL: required, "" : empty string */
+	int64_t min, max; /* CS_SET_INT */
+	const char *choices; /* CS_SET_CHOICE: "a|b|c" */
+	const char *unit; /* "ms", "port", "" */
+	const char *help;
+	/* Value after cs_settings_load. */
+	char *text;
+	int64_t num; /* integer, boolean, or index of the choice */
+};
+
+enum cs_settings_status { CS_SETTINGS_OK, CS_SETTINGS_EXIT, CS_SETTINGS_BAD };
+/*
+ * Fills the table (ended by a row with name NULL) from defaults, environment and flags, in that
+ * order of growing weight. --version and --help print and give CS_SETTINGS_EXIT. On a bad value the
+ * message names the setting, the value and what is allowed. Non-flag arguments stay in argv.
+ */
+enum cs_settings_status cs_settings_load(struct cs_setting *table, const char *summary, int *argc,
+					 char ***argv, struct cs_msg *msg);
+void cs_settings_free(struct cs_setting *table);
+const struct cs_setting *cs_setting_get(const struct cs_setting *table, const char *name);
+const char *cs_setting_text(const struct cs_setting *table, const char *name);
+int64_t cs_setting_int(const struct cs_setting *table, const char *name);
+
+/*
+ * Fault switches: in a build with FAULTS=1, true if the environment variable CASSIA_FAULT lists the
+ * name (comma-separated); it turns one mechanism off so that a test can show what it prevents.
+ */
+#if CS_FAULTS
+bool cs_fault(const char *name);
+#else
+#define cs_fault(name) false
+#endif
+
+/* Nearest of n names to word by edit distance, or NULL if none is close. */
+const char *cs_nearest(const char *word, const char *const *names, size_t n);
+
+#endif
--- /dev/null
+++ b/lib/base/log.c
@@ -0,0 +1,69 @@
+/* Syslog-style lines on standard error, with a limit on repeats of one call site. */
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/base.h"
+
+static char log_ident[64] = "cassia";
+static enum cs_level log_max = CS_INFO;
+
+static const char *const level_names[] = {"", "", "", "err", "warning", "notice", "info", "debug"};
+
+void cs_log_open(const char *ident, enum cs_level max)
+{
+	cs_copy(log_ident, sizeof(log_ident), ident);
+	log_max = max;
+}
+
+int cs_log_level_parse(const char *name)
+{
+	int i;
+
+	for (i = CS_ERR; i <= CS_DEBUG; i++)
+		if (strcmp(level_names[i], name) == 0)
+			return i;
+	return -1;
+}
+
+/* Decides whether a line may be written now and how many were suppressed before it. */
+static bool site_allows(struct cs_log_site *site, unsigned *missed)
+{
+	uint64_t now = cs_mono_us();
+
+	*missed = 0;
+	if (now - site->window_us >= CS_US_PER_S) {
+		*missed = site->suppressed;
+		site->window_us = now;
+		site->count = 0;
+		site->suppressed = 0;
+	}
+	if (site->count >= CS_LOG_BURST) {
+		site->suppressed++;
+		return false;
+	}
+	site->count++;
+	return true;
+}
+
+void cs_log_write(struct cs_log_site *site, enum cs_level level, const char *part, const char *fmt,
+		  ...)
+{
+	char line[1024];
+	unsigned missed;
+	va_list ap;
+	int n;
+
+	if (level > log_max || !site_allows(site, &missed))
+		return;
+	n = snprintf(line, sizeof(line), "<%d>%s[%s]: %s: ", level, log_ident, level_names[level],
+		     part);
+	va_start(ap, fmt);
+	if (n > 0 && (size_t)n < sizeof(line))
+		vsnprintf(line + n, sizeof(line) - (size_t)n, fmt, ap);
+	va_end(ap);
+	if (missed > 0)
+		fprintf(stderr, "%s repeats=%u\n", line, missed);
+	else
+		fprintf(stderr, "%s\n", line);
+}
--- /dev/null
+++ b/lib/base/timer.c
@@ -0,0 +1,163 @@
+/* Timer service: subscribers in a tree by due time, one libev timer for the nearest of them. */
+#include <stdlib.h>
+
+#include "base/base.h"
+
+RB_HEAD(timer_tree, cs_timer);
+
+struct cs_timers {
+	struct ev_loop *loop;
+	ev_timer wake;
+	ev_prepare before; /* arms the libev timer */
+	ev_check after; /* takes the time of the turn, finds gaps */
+	struct timer_tree tree;
+	uint64_t now_us;
+	uint64_t planned_us; /* when the loop meant to wake up */
+	uint64_t orders;
+	uint64_t gap_limit_us;
+	cs_gap_cb gap_cb;
+	void *gap_arg;
+};
+
+/* Longest sleep of the loop, so that a stopped process is noticed soon after it goes on. */
+#define MAX_SLEEP_US (500 * CS_US_PER_MS)
+
+static int timer_cmp(struct cs_timer *a, struct cs_timer *b);
+static void on_wake(struct ev_loop *loop, ev_timer *w, int events);
+static void on_prepare(struct ev_loop *loop, ev_prepare *w, int events);
+static void on_check(struct ev_loop *loop, ev_check *w, int events);
+
+CS_RB_GENERATE(timer_tree, cs_timer, entry, timer_cmp)
+
+/* Orders by due time, then by start order, so that equal due times fire in order. */
+static int timer_cmp(struct cs_timer *a, struct cs_timer *b)
+{
+	if (a->due_us != b->due_us)
+		return a->due_us < b->due_us ? -1 : 1;
+	if (a->order != b->order)
+		return a->order < b->order ? -1 : 1;
+	return 0;
+}
+
+struct cs_timers *cs_timers_create(struct ev_loop *loop)
+{
+	struct cs_timers *ts = cs_xcalloc(1, sizeof(*ts));
+
+	ts->loop = loop;
+	RB_INIT(&ts->tree);
+	ts->now_us = cs_mono_us();
+	ts->planned_us = ts->now_us;
+	ev_timer_init(&ts->wake, on_wake, 0., 0.);
+	ev_prepare_init(&ts->before, on_prepare);
+	ev_check_init(&ts->after, on_check);
+	ts->wake.data = ts->before.data = ts->after.data = ts;
+	/* Before all other watchers of the turn, so that they see the turn's time. */
+	ev_set_priority(&ts->after, EV_MAXPRI);
+	ev_prepare_start(loop, &ts->before);
+	ev_check_start(loop, &ts->after);
+	return ts;
+}
+
+void cs_timers_destroy(struct cs_timers *ts)
+{
+	struct cs_timer *t, *next;
+
+	if (ts == NULL)
+		return;
+	RB_FOREACH_SAFE(t, timer_tree, &ts->tree, next)
+		cs_timer_stop(t);
+	ev_timer_stop(ts->loop, &ts->wake);
+	ev_prepare_stop(ts->loop, &ts->before);
+	ev_check_stop(ts->loop, &ts->after);
+	free(ts);
+}
+
+uint64_t cs_timers_now(const struct cs_timers *ts)
+{
+	return ts->now_us;
+}
+
+void cs_timers_on_gap(struct cs_timers *ts, uint64_t limit_us, cs_gap_cb cb, void *arg)
+{
+	ts->gap_limit_us = limit_us;
+	ts->gap_cb = cb;
+	ts->gap_arg = arg;
+}
+
+void cs_timer_init(struct cs_timer *t, cs_timer_cb cb, void *arg)
+{
+	*t = (struct cs_timer){.cb = cb, .arg = arg};
+}
+
+/* Puts the timer into the tree; the clock is read anew because a turn may have taken long. */
+static void timer_insert(struct cs_timers *ts, struct cs_timer *t, uint64_t delay_us)
+{
+	t->due_us = cs_mono_us() + delay_us;
+	t->order = ts->orders++;
+	t->owner = ts;
+	RB_INSERT(timer_tree, &ts->tree, t);
+}
+
+void cs_timer_start(struct cs_timers *ts, struct cs_timer *t, uint64_t delay_us)
+{
+	cs_timer_stop(t);
+	t->period_us = 0;
+	timer_insert(ts, t, delay_us);
+}
+
+void cs_timer_start_every(struct cs_timers *ts, struct cs_timer *t, uint64_t period_us)
+{
+	cs_timer_stop(t);
+	t->period_us = period_us ? period_us : 1;
+	timer_insert(ts, t, t->period_us);
+}
+
+void cs_timer_stop(struct cs_timer *t)
+{
+	if (t->owner == NULL)
+		return;
+	RB_REMOVE(timer_tree, &t->owner->tree, t);
+	t->owner = NULL;
+}
+
+/* Fires all timers that were due at the start of this turn. */
+static void on_wake(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct cs_timers *ts = w->data;
+	struct cs_timer *t;
+	uint64_t now = cs_mono_us();
+
+	ts->now_us = now;
+	while ((t = RB_MIN(timer_tree, &ts->tree)) != NULL && t->due_us <= now) {
+		cs_timer_stop(t);
+		if (t->period_us > 0)
+			timer_insert(ts, t, t->period_us);
+		t->cb(t, t->arg);
+	}
+}
+
+static void on_prepare(struct ev_loop *loop, ev_prepare *w, int events)
+{
+	struct cs_timers *ts = w->data;
+	struct cs_timer *t = RB_MIN(timer_tree, &ts->tree);
+	uint64_t now = cs_mono_us(), wait = MAX_SLEEP_US;
+
+	if (t != NULL && t->due_us < now + wait)
+		wait = t->due_us > now ? t->due_us - now : 0;
+	ts->planned_us = now + wait;
+	ev_now_update(loop);
+	ev_timer_stop(loop, &ts->wake);
+	ev_timer_set(&ts->wake, (double)wait / (double)CS_US_PER_S, 0.);
+	ev_timer_start(loop, &ts->wake);
+}
+
+static void on_check(struct ev_loop *loop, ev_check *w, int events)
+{
+	struct cs_timers *ts = w->data;
+	uint64_t gap;
+
+	ts->now_us = cs_mono_us();
+	gap = ts->now_us > ts->planned_us ? ts->now_us - ts->planned_us : 0;
+	if (ts->gap_cb != NULL && gap > ts->gap_limit_us)
+		ts->gap_cb(gap, ts->gap_arg);
+}
--- /dev/null
+++ b/lib/http/fetch.c
@@ -0,0 +1,129 @@
+/* One whole HTTP exchange with a bounded answer. */
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "http/http.h"
+
+#define CONNECT_TIMEOUT_MS 1000L
+
+struct cs_fetch {
+	struct cs_curl *curl;
+	CURL *easy;
+	struct curl_slist *headers;
+	cs_fetch_cb cb;
+	void *arg;
+	char *request;
+	char *body;
+	size_t len;
+	size_t max;
+	uint64_t index;
+	char error[CURL_ERROR_SIZE];
+};
+
+static size_t on_body(char *data, size_t size, size_t n, void *arg);
+static size_t on_header(char *data, size_t size, size_t n, void *arg);
+static void on_done(CURL *easy, CURLcode code, void *arg);
+
+static void fetch_free(struct cs_fetch *f)
+{
+	curl_easy_cleanup(f->easy);
+	curl_slist_free_all(f->headers);
+	free(f->request);
+	free(f->body);
+	free(f);
+}
+
+struct cs_fetch *cs_fetch_start(struct cs_curl *c, const struct cs_fetch_opts *opts, cs_fetch_cb cb,
+				void *arg)
+{
+	struct cs_fetch *f = cs_xcalloc(1, sizeof(*f));
+	CURL *e = curl_easy_init();
+
+	f->curl = c;
+	f->easy = e;
+	f->cb = cb;
+	f->arg = arg;
+	f->max = opts->max_answer ? opts->max_answer : 65536;
+	curl_easy_setopt(e, CURLOPT_URL, opts->url);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)opts->timeout_ms);
+	curl_easy_setopt(e, CURLOPT_ERRORBUFFER, f->error);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, f);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, f);
+	if (opts->interface != NULL)
+		curl_easy_setopt(e, CURLOPT_INTERFACE, opts->interface);
+	if (opts->body != NULL) {
+		f->request = cs_xcalloc(1, opts->body_len + 1);
+		memcpy(f->request, opts->body, opts->body_len);
+		curl_easy_setopt(e, CURLOPT_POSTFIELDS, f->request);
+		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)opts->body_len);
+		f->headers = curl_slist_append(f->headers, "Content-Type: application/json");
+	}
+	f->headers = curl_slist_append(f->headers, "Expect:");
+	curl_easy_setopt(e, CURLOPT_HTTPHEADER, f->headers);
+	if (opts->method != NULL)
+		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, opts->method);
+	cs_curl_start(c, e, on_done, f);
+	return f;
+}
+
+void cs_fetch_cancel(struct cs_fetch *f)
+{
+	if (f == NULL)
+		return;
+	cs_curl_abort(f->curl, f->easy);
+	fetch_free(f);
+}
+
+/* Collects the answer; over the limit the transfer fails. */
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct cs_fetch *f = arg;
+	size_t len = size * n;
+
+	if (f->len + len > f->max)
+		return 0;
+	f->body = cs_xrealloc(f->body, f->len + len + 1, 1);
+	memcpy(f->body + f->len, data, len);
+	f->len += len;
+	f->body[f->len] = '\0';
+	return len;
+}
+
+static size_t on_header(char *data, size_t size, size_t n, void *arg)
+{
+	static const char name[] = "X-Consul-Index:";
+	struct cs_fetch *f = arg;
+	size_t len = size * n;
+	char number[32];
+	size_t rest;
+
+	if (len > sizeof(name) && strncasecmp(data, name, sizeof(name) - 1) == 0) {
+		rest = len - (sizeof(name) - 1);
+		if (rest >= sizeof(number))
+			rest = sizeof(number) - 1;
+		memcpy(number, data + sizeof(name) - 1, rest);
+		number[rest] = '\0';
+		f->index = strtoull(number, NULL, 10);
+	}
+	return len;
+}
+
+static void on_done(CURL *easy, CURLcode code, void *arg)
+{
+	struct cs_fetch *f = arg;
+	struct cs_fetch_result res = {.code = code, .index = f->index};
+
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &res.status);
+	res.body = f->body ? f->body : "";
+	res.len = f->len;
+	res.error = *f->error ? f->error : curl_easy_strerror(code);
+	f->cb(&res, f->arg);
+	fetch_free(f);
+}
