Add the model library: configuration parser, longest-prefix search, view

Cause: the other parts need the configuration and the view. Change: a table of keys with kind, range, unit and default drives all checks; a refusal names the key path, the value, what is allowed and the nearest known name. Client blocks are 20 bytes each in one sorted table; the search cuts the address to the bits it shares with the preceding block, so it needs no second table. model.h gains block, time and key-table functions. Check: 12 unit tests pass, lint clean.

--- a/lib/model/model.h
+++ b/lib/model/model.h
@@ -113,6 +113,49 @@
 int cs_config_locate(const struct cs_config *cfg, const uint8_t addr[16]);
 /* Text address to the 128-bit form (IPv4 as ::ffff:a.b.c.d); false if malformed. */
 bool cs_addr_parse(const char *text, uint8_t addr[16]);
+/* Text prefix as 10.1.0.0/16 or 2001:db8::/32; a bare address is a block of one. False if
+ * malformed. */
+bool cs_block_parse(const char *text, struct cs_block *b);
+/* Prefix as text. */
+#define CS_BLOCK_MAX (CS_ADDR_MAX + 4)
+void cs_block_format(const struct cs_block *b, char out[CS_BLOCK_MAX]);
+/* Order of the block table: by address, then length. */
+int cs_block_cmp(const void *a, const void *b);
+/* Index of the longest block of a sorted table that holds the address, or -1. */
+int cs_blocks_locate(const struct cs_block *blocks, unsigned n, const uint8_t addr[16]);
+/* Wall-clock ms of a time as 2026-12-06T20:00:00Z; false if malformed. */
+bool cs_time_parse(const char *text, int64_t *ms);
+#define CS_TIME_MAX 32
+void cs_time_format(int64_t ms, char out[CS_TIME_MAX]);
+
+/* Keys of the configuration document: one table for checks, documentation and suggestions. */
+enum cs_key_kind {
+	CS_KEY_NAME, /* 1-47 of [A-Za-z0-9._-] */
+	CS_KEY_TEXT, /* up to max bytes */
+	CS_KEY_TIME,
+	CS_KEY_BOOL,
+	CS_KEY_INT,
+	CS_KEY_REAL,
+	CS_KEY_LIST, /* of objects; min to max entries */
+	CS_KEY_STRINGS, /* list of strings; up to max entries */
+	CS_KEY_OBJECT
+};
+struct cs_key {
+	const char *name;
+	enum cs_key_kind kind;
+	bool required;
+	double min, max;
+	double def; /* numbers and booleans that are not required */
+	const char *unit;
+	const char *help;
+};
+/* One kind of object; path as "" for the document or "classes[]". */
+struct cs_section {
+	const char *path;
+	const struct cs_key *keys;
+	unsigned n;
+};
+const struct cs_section *cs_config_sections(unsigned *n);
 /* One-way delay between two zones in us; 0 for the same zone. */
 unsigned cs_config_delay_us(const struct cs_config *cfg, unsigned from, unsigned to);
 
