Add the store and server stand-ins

The other parts need a platform store and backend servers to run against. standin-store speaks the published Consul paths (kv with cas and blocking reads, sessions, registration, health lists); standin-servers plays many servers, each with its own address, behaviour and run log. Both take faults over a control port. tests/lib/inlet feeds connections of many listening addresses into one MHD daemon, so that a listener can be closed and opened again and a connection can be broken.

Checked by hand with curl: cas, blocking reads, lost answer, outage, list lag, service time, truncation, cancellation. No throughput figure yet.

--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,7 @@
 $(foreach p,$(PROGS),$(eval $(call prog_rule,$(p))))
 
 define standin_rule
-$(BUILD)/bin/standin-$(1): $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard tests/standins/$(1)/*.c)) $(lib_ar)
+$(BUILD)/bin/standin-$(1): $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard tests/standins/$(1)/*.c tests/lib/*.c)) $(lib_ar)
 	@mkdir -p $$(@D)
 	$$(CC) $$(LDFLAGS) -o $$@ $$^ $$(LDLIBS)
 endef
--- /dev/null
+++ b/tests/lib/inlet.c
@@ -0,0 +1,197 @@
+/* Listening addresses that hand their connections to one MHD daemon. */
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "tests/lib/inlet.h"
+
+#define ACCEPT_BURST 64
+#define IDLE_TIMEOUT_S 120
+
+struct peer {
+	LIST_ENTRY(peer) entry;
+	struct inlet_listener *listener;
+	struct MHD_Connection *conn;
+};
+
+struct inlet_listener {
+	struct inlet *owner;
+	ev_io io;
+	char addr[46];
+	uint16_t port;
+	int fd; /* -1 while closed */
+	unsigned connections;
+	void *tag;
+	LIST_HEAD(, peer) peers;
+};
+
+struct inlet {
+	struct ev_loop *loop;
+	struct MHD_Daemon *daemon;
+	struct cs_mhd *mhd;
+	struct inlet_listener *accepting;
+};
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int events);
+static void on_connection(void *cls, struct MHD_Connection *conn, void **ctx,
+			  enum MHD_ConnectionNotificationCode code);
+
+struct inlet *inlet_create(struct ev_loop *loop, struct cs_timers *ts,
+			   MHD_AccessHandlerCallback access, MHD_RequestCompletedCallback completed,
+			   void *arg, size_t memory)
+{
+	struct inlet *in = cs_xcalloc(1, sizeof(*in));
+
+	in->loop = loop;
+	in->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_USE_NO_LISTEN_SOCKET | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+		access, arg, MHD_OPTION_NOTIFY_COMPLETED, completed, arg,
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, in, MHD_OPTION_CONNECTION_TIMEOUT,
+		(unsigned)IDLE_TIMEOUT_S, MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
+		MHD_OPTION_CONNECTION_LIMIT, 60000U, MHD_OPTION_END);
+	if (in->daemon == NULL) {
+		free(in);
+		return NULL;
+	}
+	in->mhd = cs_mhd_attach(loop, ts, in->daemon);
+	return in;
+}
+
+struct inlet_listener *inlet_listen(struct inlet *in, const char *addr, uint16_t port, void *tag,
+				    struct cs_msg *msg)
+{
+	struct inlet_listener *l = cs_xcalloc(1, sizeof(*l));
+
+	l->owner = in;
+	l->tag = tag;
+	l->port = port;
+	l->fd = -1;
+	LIST_INIT(&l->peers);
+	cs_copy(l->addr, sizeof(l->addr), addr);
+	if (!inlet_open(l, msg)) {
+		free(l);
+		return NULL;
+	}
+	return l;
+}
+
+uint16_t inlet_port(const struct inlet_listener *l)
+{
+	return l->port;
+}
+
+bool inlet_open(struct inlet_listener *l, struct cs_msg *msg)
+{
+	if (l->fd >= 0)
+		return true;
+	l->fd = cs_listen(l->addr, l->port, &l->port, msg);
+	if (l->fd < 0)
+		return false;
+	ev_io_init(&l->io, on_accept, l->fd, EV_READ);
+	l->io.data = l;
+	ev_io_start(l->owner->loop, &l->io);
+	return true;
+}
+
+void inlet_close(struct inlet_listener *l)
+{
+	struct linger reset = {.l_onoff = 1, .l_linger = 0};
+	struct peer *p;
+	int fd;
+
+	if (l->fd < 0)
+		return;
+	ev_io_stop(l->owner->loop, &l->io);
+	close(l->fd);
+	l->fd = -1;
+	LIST_FOREACH(p, &l->peers, entry) {
+		fd = inlet_fd(p->conn);
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		shutdown(fd, SHUT_RDWR);
+	}
+	inlet_kick(l->owner);
+}
+
+void inlet_hold(struct inlet_listener *l, bool hold)
+{
+	if (l->fd < 0)
+		return;
+	if (hold)
+		ev_io_stop(l->owner->loop, &l->io);
+	else
+		ev_io_start(l->owner->loop, &l->io);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct inlet_listener *l = w->data;
+	struct sockaddr_in sa;
+	socklen_t len;
+	int fd, i, one = 1;
+
+	for (i = 0; i < ACCEPT_BURST; i++) {
+		len = sizeof(sa);
+		fd = accept4(l->fd, (struct sockaddr *)&sa, &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			break;
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+		l->owner->accepting = l;
+		MHD_add_connection(l->owner->daemon, fd, (struct sockaddr *)&sa, len);
+		l->owner->accepting = NULL;
+	}
+	inlet_kick(l->owner);
+}
+
+static void on_connection(void *cls, struct MHD_Connection *conn, void **ctx,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	struct inlet *in = cls;
+	struct peer *p = *ctx;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		p = cs_xcalloc(1, sizeof(*p));
+		p->listener = in->accepting;
+		p->conn = conn;
+		p->listener->connections++;
+		LIST_INSERT_HEAD(&p->listener->peers, p, entry);
+		*ctx = p;
+		return;
+	}
+	p->listener->connections--;
+	LIST_REMOVE(p, entry);
+	free(p);
+	*ctx = NULL;
+}
+
+void *inlet_tag(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	const struct peer *p = info->socket_context;
+
+	return p->listener->tag;
+}
+
+unsigned inlet_connections(const struct inlet_listener *l)
+{
+	return l->connections;
+}
+
+void inlet_kick(struct inlet *in)
+{
+	cs_mhd_kick(in->mhd);
+}
+
+int inlet_fd(struct MHD_Connection *conn)
+{
+	return MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
+void inlet_break(struct MHD_Connection *conn)
+{
+	shutdown(inlet_fd(conn), SHUT_RDWR);
+}
--- a/tests/run/cppcheck.h
+++ b/tests/run/cppcheck.h
@@ -32,3 +32,5 @@
 #define TAILQ_FOREACH_SAFE(v, h, f, n) for ((v) = (n) = (h)->tqh_first; (v) != 0; (v) = (n))
 #define LIST_FOREACH_SAFE(v, h, f, n) for ((v) = (n) = (h)->lh_first; (v) != 0; (v) = (n))
 #define RB_FOREACH_SAFE(v, name, h, n) for ((v) = (n) = (h)->rbh_root; (v) != 0; (v) = (n))
+#define json_object_foreach(o, k, v) for ((k) = 0, (v) = json_object_get(o, ""); (k) != 0; (k) = 0)
+#define json_array_foreach(a, i, v) for ((i) = 0; (v) = json_array_get(a, i), (i) < 1; (i)++)
--- /dev/null
+++ b/tests/standins/servers/control.c
@@ -0,0 +1,204 @@
+/*
+ * Controls:
+ *   GET /standin/set?[server=NAME|service=NAME|zone=NAME]&BEHAVIOUR=VALUE...   all if unnamed
+ *   GET /standin/cold?[...]      empties the cache of the servers (see cold_runs)
+ *   GET /standin/slow?[...]&pct=N&factor=N&period_ms=N   each period another part is slow; 0: end
+ *   GET /standin/stats           one row a server
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/standins/servers/servers.h"
+
+struct slow_plan {
+	char service[NAME_SIZE];
+	double pct, factor;
+	struct cs_timer timer;
+};
+
+#define FIELD(name)                                                                                \
+	{                                                                                          \
+#name, offsetof(struct behaviour, name)                                            \
+	}
+static const struct {
+	const char *name;
+	size_t offset;
+} fields[] = {
+	FIELD(slots),
+	FIELD(service_ms),
+	FIELD(jitter_pct),
+	FIELD(straggler_pct),
+	FIELD(straggler_factor),
+	FIELD(slow_factor),
+	FIELD(cold_factor),
+	FIELD(cold_runs),
+	FIELD(refuse_pct),
+	FIELD(shed),
+	FIELD(truncate_pct),
+	FIELD(late_pct),
+	FIELD(late_ms),
+	FIELD(answer_bytes),
+	FIELD(report),
+	FIELD(report_late_ms),
+	FIELD(report_in_flight),
+	FIELD(report_service_ms),
+	FIELD(state),
+	FIELD(down),
+};
+
+static struct slow_plan slow;
+
+bool behaviour_set(struct server *s, const char *name, double value)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(fields) / sizeof(fields[0]); i++) {
+		if (strcmp(fields[i].name, name) != 0)
+			continue;
+		*(double *)(void *)((char *)&s->b + fields[i].offset) = value;
+		return true;
+	}
+	return false;
+}
+
+void behaviour_apply(struct server *s, const struct behaviour *before)
+{
+	struct cs_msg msg;
+
+	if (s->b.state != before->state)
+		log_state(s);
+	if (s->b.down > 0)
+		inlet_close(s->listener);
+	else if (!inlet_open(s->listener, &msg))
+		cs_log(CS_ERR, "control", "Cannot listen again: %s", msg.text);
+}
+
+static bool selected(struct cs_http_req *req, const struct server *s)
+{
+	const char *server = cs_http_arg(req, "server"), *service = cs_http_arg(req, "service"),
+		   *zone = cs_http_arg(req, "zone");
+
+	return (server == NULL || strcmp(server, s->name) == 0) &&
+	       (service == NULL || strcmp(service, s->service) == 0) &&
+	       (zone == NULL || strcmp(zone, s->zone) == 0);
+}
+
+static unsigned set_behaviours(struct cs_http_req *req)
+{
+	struct behaviour before;
+	unsigned n = 0;
+	const char *text;
+	struct server *s;
+	size_t i;
+
+	TAILQ_FOREACH(s, &servers, entry) {
+		if (!selected(req, s))
+			continue;
+		n++;
+		before = s->b;
+		for (i = 0; i < sizeof(fields) / sizeof(fields[0]); i++) {
+			text = cs_http_arg(req, fields[i].name);
+			if (text != NULL)
+				behaviour_set(s, fields[i].name, strtod(text, NULL));
+		}
+		behaviour_apply(s, &before);
+	}
+	return n;
+}
+
+static unsigned make_cold(struct cs_http_req *req)
+{
+	struct server *s;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(s, &servers, entry) {
+		if (!selected(req, s))
+			continue;
+		s->warm = 0;
+		n++;
+	}
+	return n;
+}
+
+/* Draws anew which servers are slow. */
+static void on_slow_period(struct cs_timer *t, void *arg)
+{
+	struct server *s;
+
+	TAILQ_FOREACH(s, &servers, entry)
+		if (*slow.service == '\0' || strcmp(slow.service, s->service) == 0)
+			s->b.slow_factor = cs_rng_unit(&rng) * 100 < slow.pct ? slow.factor : 1;
+}
+
+static double number(struct cs_http_req *req, const char *name)
+{
+	const char *text = cs_http_arg(req, name);
+
+	return text ? strtod(text, NULL) : 0;
+}
+
+static void set_slow(struct cs_http_req *req)
+{
+	const char *service = cs_http_arg(req, "service");
+	double period_ms = number(req, "period_ms");
+
+	cs_copy(slow.service, sizeof(slow.service), service ? service : "");
+	slow.pct = number(req, "pct");
+	slow.factor = number(req, "factor");
+	cs_timer_stop(&slow.timer);
+	cs_timer_init(&slow.timer, on_slow_period, NULL);
+	if (period_ms > 0)
+		cs_timer_start_every(timers, &slow.timer, (uint64_t)(period_ms * CS_US_PER_MS));
+	on_slow_period(NULL, NULL);
+}
+
+static void reply_stats(struct cs_http_req *req)
+{
+	json_t *doc = json_array();
+	struct server *s;
+	char *text;
+
+	TAILQ_FOREACH(s, &servers, entry)
+		json_array_append_new(
+			doc, json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:i,s:i,s:i,s:f,s:i}", "name",
+				       s->name, "service", s->service, "zone", s->zone, "runs",
+				       (json_int_t)s->runs, "refused", (json_int_t)s->refused,
+				       "cancelled", (json_int_t)s->cancelled, "present",
+				       (int)s->present, "peak", (int)s->peak, "connections",
+				       (int)inlet_connections(s->listener), "mean_us", s->mean_us,
+				       "state", (int)s->b.state));
+	text = json_dumps(doc, JSON_COMPACT);
+	cs_http_reply(req, 200, NULL, text, strlen(text));
+	free(text);
+	json_decref(doc);
+}
+
+static void on_control(struct cs_http_req *req, void *arg)
+{
+	const char *path = cs_http_path(req);
+	unsigned n = 0;
+	char text[64];
+
+	if (strcmp(path, "/standin/stats") == 0) {
+		reply_stats(req);
+		return;
+	}
+	if (strcmp(path, "/standin/set") == 0) {
+		n = set_behaviours(req);
+	} else if (strcmp(path, "/standin/cold") == 0) {
+		n = make_cold(req);
+	} else if (strcmp(path, "/standin/slow") == 0) {
+		set_slow(req);
+	} else {
+		cs_http_reply(req, 404, "text/plain", "unknown control\n", 16);
+		return;
+	}
+	snprintf(text, sizeof(text), "{\"matched\":%u}\n", n);
+	cs_http_reply(req, 200, NULL, text, strlen(text));
+}
+
+bool control_start(const char *addr, uint16_t port, struct cs_msg *msg)
+{
+	return cs_httpd_create(loop, timers, addr, port, 4096, on_control, NULL, msg) != NULL;
+}
--- /dev/null
+++ b/tests/standins/servers/main.c
@@ -0,0 +1,162 @@
+/* Loads the list of servers, opens their addresses and runs the loop. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "tests/standins/servers/servers.h"
+
+#define HEADER_MEMORY (8 * 1024)
+
+struct ev_loop *loop;
+struct cs_timers *timers;
+struct server_list servers = TAILQ_HEAD_INITIALIZER(servers);
+struct inlet *inlet;
+struct cs_rng rng;
+unsigned sample_pos;
+
+static struct cs_setting settings[] = {
+	{.name = "list",
+	 .def = NULL,
+	 .unit = "",
+	 .help = "JSON file: array of objects with name, service, zone, address, port and "
+		 "behaviours"},
+	{.name = "log", .def = "", .unit = "", .help = "run log, JSON lines; empty: none"},
+	{.name = "control-address", .def = "127.0.0.1", .unit = "", .help = "address of controls"},
+	{.name = "control-port",
+	 .kind = CS_SET_INT,
+	 .def = "8601",
+	 .min = 0,
+	 .max = 65535,
+	 .unit = "",
+	 .help = "port of the controls"},
+	{.name = "seed",
+	 .kind = CS_SET_INT,
+	 .def = "1",
+	 .min = 0,
+	 .max = INT32_MAX,
+	 .unit = "",
+	 .help = "seed of service times and faults"},
+	{.name = NULL},
+};
+
+static const struct behaviour defaults = {
+	.slots = 9,
+	.straggler_factor = 20,
+	.slow_factor = 1,
+	.cold_factor = 1,
+	.late_ms = 500,
+	.answer_bytes = 64,
+	.report_late_ms = 2000,
+};
+
+static bool server_add(json_t *row, struct cs_msg *msg)
+{
+	struct server *s = cs_xcalloc(1, sizeof(*s));
+	const char *name, *service, *zone, *addr, *key;
+	json_t *value;
+	int port;
+
+	if (json_unpack(row, "{s:s,s:s,s:s,s:s,s:i}", "name", &name, "service", &service, "zone",
+			&zone, "address", &addr, "port", &port) != 0) {
+		cs_msg_set(msg, "a server needs name, service, zone, address and port");
+		free(s);
+		return false;
+	}
+	cs_copy(s->name, sizeof(s->name), name);
+	cs_copy(s->service, sizeof(s->service), service);
+	cs_copy(s->zone, sizeof(s->zone), zone);
+	cs_copy(s->addr, sizeof(s->addr), addr);
+	s->b = defaults;
+	TAILQ_INIT(&s->queue);
+	json_object_foreach(row, key, value)
+		if (json_is_number(value) && strcmp(key, "port") != 0 &&
+		    !behaviour_set(s, key, json_number_value(value)))
+			cs_log(CS_WARNING, "main", "Unknown behaviour ignored. name=%s", key);
+	s->mean_us = s->b.service_ms * (double)CS_US_PER_MS;
+	s->warm = (unsigned)s->b.cold_runs;
+	s->listener = inlet_listen(inlet, addr, (uint16_t)port, s, msg);
+	if (s->listener == NULL) {
+		free(s);
+		return false;
+	}
+	s->port = inlet_port(s->listener);
+	TAILQ_INSERT_TAIL(&servers, s, entry);
+	return true;
+}
+
+static bool load_list(const char *path, struct cs_msg *msg)
+{
+	json_error_t err;
+	json_t *doc = json_load_file(path, 0, &err), *row;
+	bool ok = true;
+	size_t i;
+
+	if (!json_is_array(doc)) {
+		cs_msg_set(msg, "%s: %s", path, doc ? "not an array" : err.text);
+		json_decref(doc);
+		return false;
+	}
+	json_array_foreach(doc, i, row)
+		ok = ok && server_add(row, msg);
+	json_decref(doc);
+	return ok;
+}
+
+/* Keeps the recent load of every server for late reports. */
+static void on_sample(struct cs_timer *t, void *arg)
+{
+	struct server *s;
+
+	sample_pos = (sample_pos + 1) % SAMPLES;
+	TAILQ_FOREACH(s, &servers, entry) {
+		s->samples[sample_pos].in_flight = s->present;
+		s->samples[sample_pos].service_us = (unsigned)s->mean_us;
+	}
+}
+
+static void on_signal(struct ev_loop *l, ev_signal *w, int events)
+{
+	ev_break(l, EVBREAK_ALL);
+}
+
+int main(int argc, char **argv)
+{
+	struct cs_timer sample;
+	ev_signal term, intr;
+	struct cs_msg msg;
+
+	cs_log_open("standin-servers", CS_INFO);
+	switch (cs_settings_load(settings, "Backend servers for tests", &argc, &argv, &msg)) {
+	case CS_SETTINGS_EXIT:
+		return 0;
+	case CS_SETTINGS_BAD:
+		fprintf(stderr, "standin-servers: %s\n", msg.text);
+		return 2;
+	case CS_SETTINGS_OK:
+		break;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	loop = ev_default_loop(0);
+	timers = cs_timers_create(loop);
+	cs_rng_seed(&rng, (uint64_t)cs_setting_int(settings, "seed"));
+	inlet = inlet_create(loop, timers, on_access, on_completed, NULL, HEADER_MEMORY);
+	if (inlet == NULL || !log_open(cs_setting_text(settings, "log"), &msg) ||
+	    !load_list(cs_setting_text(settings, "list"), &msg) ||
+	    !control_start(cs_setting_text(settings, "control-address"),
+			   (uint16_t)cs_setting_int(settings, "control-port"), &msg)) {
+		fprintf(stderr, "standin-servers: %s\n", inlet ? msg.text : "no HTTP server");
+		return 1;
+	}
+	cs_timer_init(&sample, on_sample, NULL);
+	cs_timer_start_every(timers, &sample, SAMPLE_US);
+	ev_signal_init(&term, on_signal, SIGTERM);
+	ev_signal_init(&intr, on_signal, SIGINT);
+	ev_signal_start(loop, &term);
+	ev_signal_start(loop, &intr);
+	ev_run(loop, 0);
+	runs_log_open();
+	log_close();
+	return 0;
+}
--- /dev/null
+++ b/tests/standins/store/kv.c
@@ -0,0 +1,174 @@
+/* Keys: get, blocking get, put with cas, delete, and ownership by a session. */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/standins/store/store.h"
+
+struct kv {
+	RB_ENTRY(kv) entry;
+	char *key;
+	char *value;
+	size_t len;
+	uint64_t flags;
+	uint64_t created; /* 0: deleted; the row keeps its index for watches */
+	uint64_t modified;
+	char session[64];
+};
+RB_HEAD(kv_tree, kv);
+
+static struct kv_tree keys = RB_INITIALIZER(&keys);
+
+static int kv_cmp(struct kv *a, struct kv *b);
+CS_RB_GENERATE(kv_tree, kv, entry, kv_cmp)
+
+static int kv_cmp(struct kv *a, struct kv *b)
+{
+	return strcmp(a->key, b->key);
+}
+
+static struct kv *kv_find(const char *key)
+{
+	struct kv probe = {.key = (char *)(uintptr_t)key};
+
+	return RB_FIND(kv_tree, &keys, &probe);
+}
+
+static void kv_get(struct call *c, const char *key)
+{
+	struct kv *k = kv_find(key);
+	uint64_t index = k ? k->modified : 1;
+	json_t *row;
+	char *text;
+
+	if (c->after > 0 && c->after == index) {
+		call_wait(c, call_wait_ms(c));
+		return;
+	}
+	if (k == NULL || k->created == 0) {
+		call_reply(c, 404, "", index);
+		return;
+	}
+	text = g_base64_encode((const guchar *)k->value, k->len);
+	row = json_pack("{s:i,s:s,s:I,s:s,s:I,s:I}", "LockIndex", 0, "Key", k->key, "Flags",
+			(json_int_t)k->flags, "Value", text, "CreateIndex", (json_int_t)k->created,
+			"ModifyIndex", (json_int_t)k->modified);
+	if (*k->session != '\0')
+		json_object_set_new(row, "Session", json_string(k->session));
+	g_free(text);
+	call_reply_json(c, json_pack("[o]", row), index);
+}
+
+/* Whether cas, acquire and release arguments allow the write. */
+static bool put_allowed(struct call *c, const struct kv *k)
+{
+	const char *cas = call_arg(c, "cas"), *acquire = call_arg(c, "acquire"),
+		   *release = call_arg(c, "release");
+	uint64_t have = k && k->created ? k->modified : 0;
+
+	if (cas != NULL && strtoull(cas, NULL, 10) != have)
+		return false;
+	if (acquire != NULL)
+		return session_exists(acquire) &&
+		       (k == NULL || *k->session == '\0' || strcmp(k->session, acquire) == 0);
+	if (release != NULL)
+		return k != NULL && strcmp(k->session, release) == 0;
+	return true;
+}
+
+static void wake(const char *key)
+{
+	char *path = cs_xasprintf("/v1/kv/%s", key);
+
+	watchers_wake(path);
+	free(path);
+}
+
+/* Sends a write's answer, or loses it after the write took effect. */
+static void put_answer(struct call *c, bool done)
+{
+	if (done && faults.lose > 0) {
+		faults.lose--;
+		call_drop(c);
+		return;
+	}
+	call_reply(c, 200, done ? "true" : "false", 0);
+}
+
+static void kv_put(struct call *c, const char *key)
+{
+	const char *flags = call_arg(c, "flags"), *acquire = call_arg(c, "acquire");
+	struct kv *k = kv_find(key);
+
+	if (!put_allowed(c, k)) {
+		put_answer(c, false);
+		return;
+	}
+	if (k == NULL) {
+		k = cs_xcalloc(1, sizeof(*k));
+		k->key = cs_xstrdup(key);
+		RB_INSERT(kv_tree, &keys, k);
+	}
+	free(k->value);
+	k->value = c->body ? c->body : cs_xstrdup("");
+	k->len = c->len;
+	c->body = NULL;
+	c->len = 0;
+	k->flags = flags ? strtoull(flags, NULL, 10) : 0;
+	k->modified = ++now_index;
+	if (k->created == 0)
+		k->created = k->modified;
+	if (acquire != NULL)
+		cs_copy(k->session, sizeof(k->session), acquire);
+	if (call_arg(c, "release") != NULL)
+		*k->session = '\0';
+	put_answer(c, true);
+	wake(key);
+}
+
+static void kv_delete(struct call *c, const char *key)
+{
+	struct kv *k = kv_find(key);
+
+	if (!put_allowed(c, k)) {
+		put_answer(c, false);
+		return;
+	}
+	if (k != NULL && k->created != 0) {
+		k->created = 0;
+		k->modified = ++now_index;
+		*k->session = '\0';
+	}
+	put_answer(c, true);
+	wake(key);
+}
+
+void kv_handle(struct call *c, const char *key)
+{
+	if (strcmp(c->method, "GET") == 0) {
+		if (!c->waiting)
+			count_call(c->after ? CALL_KV_WATCH : CALL_KV_GET);
+		kv_get(c, key);
+		return;
+	}
+	count_call(CALL_KV_PUT);
+	if (strcmp(c->method, "PUT") == 0)
+		kv_put(c, key);
+	else if (strcmp(c->method, "DELETE") == 0)
+		kv_delete(c, key);
+	else
+		call_reply(c, 405, "method not allowed", 0);
+}
+
+void kv_release(const char *session)
+{
+	struct kv *k;
+
+	RB_FOREACH(k, kv_tree, &keys) {
+		if (strcmp(k->session, session) != 0)
+			continue;
+		*k->session = '\0';
+		k->modified = ++now_index;
+		wake(k->key);
+	}
+}
