Add cassia-load

Callers' side of experiments: open-loop or closed-loop streams by a plan file, lookups cached for their time to live, fallback to the next entry only after a refusal with ran: no or a request that was never sent, whole-body verification by content derived from the request id, a history of JSON lines and a summary with exact quantiles.

Non-idempotent requests use a fresh connection each, because libcurl resends on a reused connection that turns out to be closed. A timerfd paces requests: the loop's own timeout has steps of 1 ms.

--- /dev/null
+++ b/src/load/main.c
@@ -0,0 +1,199 @@
+/* Settings, pacing and shutdown. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include "src/load/load.h"
+
+#define GRACE_US (20 * CS_US_PER_S) /* longest wait for answers after the last request */
+#define BURST 4096 /* requests started in one turn before answers are read */
+
+struct load load;
+
+static struct cs_setting settings[] = {
+	{.name = "plan",
+	 .def = NULL,
+	 .unit = "",
+	 .help = "JSON file with callers and streams, - for standard input"},
+	{.name = "history", .def = "", .unit = "", .help = "JSON lines, one a request; empty: none"},
+	{.name = "summary", .def = "", .unit = "", .help = "file for the summary as JSON"},
+	{.name = NULL},
+};
+
+static ev_io pacer;
+static int pacer_fd;
+static struct cs_timer watch_timer;
+
+/* Draws the distance to the next request of a stream. */
+static uint64_t gap_us(struct stream *s)
+{
+	double mean = (double)CS_US_PER_S / s->rate;
+
+	if (s->even)
+		return (uint64_t)mean;
+	return (uint64_t)(-mean * __builtin_log(1 - cs_rng_unit(&s->rng)));
+}
+
+/* Starts all due requests of open-loop streams; returns when the next is due. */
+static uint64_t start_due(uint64_t now)
+{
+	uint64_t next = UINT64_MAX;
+	unsigned n = 0;
+	struct stream *s;
+
+	TAILQ_FOREACH(s, &load.streams, entry) {
+		if (s->rate <= 0)
+			continue;
+		while (s->next_us <= now && s->next_us < load.start_us + s->to_us && n++ < BURST) {
+			request_start(s, s->next_us);
+			s->next_us += gap_us(s);
+		}
+		if (s->next_us < load.start_us + s->to_us && s->next_us < next)
+			next = s->next_us;
+	}
+	return next;
+}
+
+/* A timerfd wakes with finer steps than the loop's own timeout in milliseconds. */
+static void pacer_arm(uint64_t at_us)
+{
+	struct itimerspec it = {.it_value = {.tv_sec = (time_t)(at_us / CS_US_PER_S),
+					     .tv_nsec = (long)(at_us % CS_US_PER_S) * 1000}};
+
+	timerfd_settime(pacer_fd, TFD_TIMER_ABSTIME, &it, NULL);
+}
+
+static void on_pace(struct ev_loop *loop, ev_io *w, int events)
+{
+	uint64_t expirations, next;
+
+	if (read(w->fd, &expirations, sizeof(expirations)) < 0)
+		return;
+	next = start_due(cs_mono_us());
+	if (next != UINT64_MAX)
+		pacer_arm(next);
+}
+
+/* Fills closed-loop streams up to their concurrency. */
+static void fill_closed(struct stream *s)
+{
+	uint64_t now = cs_mono_us();
+
+	while (s->rate <= 0 && s->running < s->concurrency && now >= load.start_us + s->from_us &&
+	       now < load.start_us + s->to_us)
+		request_start(s, now);
+}
+
+void load_request_done(struct stream *s)
+{
+	s->running--;
+	load.running--;
+	if (s->rate <= 0)
+		fill_closed(s);
+}
+
+static void on_watch(struct cs_timer *t, void *arg)
+{
+	uint64_t now = cs_mono_us();
+	struct stream *s;
+
+	TAILQ_FOREACH(s, &load.streams, entry)
+		fill_closed(s);
+	if (now >= load.end_us && (load.running == 0 || now > load.end_us + GRACE_US))
+		ev_break(load.loop, EVBREAK_ALL);
+}
+
+/* Sends nothing more; the answers still to come are recorded. */
+static void on_signal(struct ev_loop *loop, ev_signal *w, int events)
+{
+	uint64_t now = cs_mono_us();
+	struct stream *s;
+
+	TAILQ_FOREACH(s, &load.streams, entry)
+		if (load.start_us + s->to_us > now)
+			s->to_us = now - load.start_us;
+	if (load.end_us > now)
+		load.end_us = now;
+}
+
+static void begin(void)
+{
+	struct stream *s;
+
+	load.start_us = cs_mono_us();
+	load.end_us = load.start_us;
+	TAILQ_FOREACH(s, &load.streams, entry) {
+		if (load.start_us + s->to_us > load.end_us)
+			load.end_us = load.start_us + s->to_us;
+		if (s->rate > 0)
+			s->next_us = load.start_us + s->from_us + gap_us(s);
+	}
+	pacer_fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+	ev_io_init(&pacer, on_pace, pacer_fd, EV_READ);
+	ev_io_start(load.loop, &pacer);
+	pacer_arm(load.start_us + 1);
+	cs_timer_init(&watch_timer, on_watch, NULL);
+	cs_timer_start_every(load.timers, &watch_timer, 10 * CS_US_PER_MS);
+}
+
+static bool write_summary(const char *path, const char *text)
+{
+	FILE *f;
+
+	puts(text);
+	if (*path == '\0')
+		return true;
+	f = fopen(path, "w");
+	if (f == NULL)
+		return false;
+	fprintf(f, "%s\n", text);
+	return fclose(f) == 0;
+}
+
+int main(int argc, char **argv)
+{
+	ev_signal term, intr;
+	struct cs_msg msg;
+	uint64_t ended;
+	char *text;
+	bool ok;
+
+	cs_log_open("cassia-load", CS_INFO);
+	switch (cs_settings_load(settings, "Load and experiment tool", &argc, &argv, &msg)) {
+	case CS_SETTINGS_EXIT:
+		return 0;
+	case CS_SETTINGS_BAD:
+		fprintf(stderr, "cassia-load: %s\n", msg.text);
+		return 2;
+	case CS_SETTINGS_OK:
+		break;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	load.loop = ev_default_loop(0);
+	load.timers = cs_timers_create(load.loop);
+	load.curl = cs_curl_create(load.loop, load.timers);
+	curl_multi_setopt(cs_curl_multi(load.curl), CURLMOPT_MAXCONNECTS, 4000L);
+	load.run_id = cs_random_u64();
+	TAILQ_INIT(&load.streams);
+	if (!plan_load(cs_setting_text(settings, "plan"), &msg) ||
+	    !record_open(cs_setting_text(settings, "history"), &msg)) {
+		fprintf(stderr, "cassia-load: %s\n", msg.text);
+		return 2;
+	}
+	ev_signal_init(&term, on_signal, SIGTERM);
+	ev_signal_init(&intr, on_signal, SIGINT);
+	ev_signal_start(load.loop, &term);
+	ev_signal_start(load.loop, &intr);
+	begin();
+	ev_run(load.loop, 0);
+	ended = load.end_us > load.start_us ? load.end_us - load.start_us : 1;
+	record_close();
+	text = record_summary((double)ended / CS_US_PER_S);
+	ok = write_summary(cs_setting_text(settings, "summary"), text);
+	free(text);
+	return ok ? 0 : 1;
+}
--- /dev/null
+++ b/src/load/route.c
@@ -0,0 +1,122 @@
+/* Lookups: each caller asks once for each class and uses the answer for its time to live. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/load/load.h"
+
+#define LOOKUP_TIMEOUT_MS 1000
+#define RETRY_US (200 * CS_US_PER_MS) /* before the next round when no lookup daemon answers */
+
+static void ask(struct route *rt);
+
+static struct route *route_get(struct caller *c, const char *class)
+{
+	struct route *rt;
+
+	TAILQ_FOREACH(rt, &c->routes, entry)
+		if (strcmp(rt->class, class) == 0)
+			return rt;
+	rt = cs_xcalloc(1, sizeof(*rt));
+	rt->caller = c;
+	cs_copy(rt->class, sizeof(rt->class), class);
+	TAILQ_INIT(&rt->waiting);
+	TAILQ_INSERT_TAIL(&c->routes, rt, entry);
+	return rt;
+}
+
+static void use_route(struct request *r, const struct route *rt)
+{
+	memcpy(r->targets, rt->entries, sizeof(r->targets));
+	r->n_targets = rt->n_entries;
+	request_send(r);
+}
+
+/* Sends all requests that waited for the answer. */
+static void release(struct route *rt)
+{
+	struct request *r;
+
+	rt->asking = false;
+	while ((r = TAILQ_FIRST(&rt->waiting)) != NULL) {
+		TAILQ_REMOVE(&rt->waiting, r, entry);
+		use_route(r, rt);
+	}
+}
+
+static bool read_answer(struct route *rt, const struct cs_fetch_result *res)
+{
+	json_t *doc = json_loadb(res->body, res->len, 0, NULL), *rows, *row;
+	const char *instance, *url;
+	struct target *t;
+	size_t i;
+
+	rows = json_object_get(doc, "entries");
+	if (json_array_size(rows) == 0) {
+		json_decref(doc);
+		return false;
+	}
+	rt->n_entries = 0;
+	json_array_foreach(rows, i, row) {
+		if (rt->n_entries >= LOAD_ENTRIES_MAX ||
+		    json_unpack(row, "{s:s,s:s}", "instance", &instance, "url", &url) != 0)
+			continue;
+		t = &rt->entries[rt->n_entries++];
+		cs_copy(t->instance, sizeof(t->instance), instance);
+		cs_copy(t->url, sizeof(t->url), url);
+	}
+	rt->until_us = cs_mono_us() +
+		       (uint64_t)json_integer_value(json_object_get(doc, "ttl_ms")) * CS_US_PER_MS;
+	json_decref(doc);
+	return rt->n_entries > 0;
+}
+
+static void on_answer(const struct cs_fetch_result *res, void *arg)
+{
+	struct route *rt = arg;
+	struct caller *c = rt->caller;
+
+	if (res->code == CURLE_OK && res->status == 200 && read_answer(rt, res)) {
+		release(rt);
+		return;
+	}
+	load.lookup_errors++;
+	c->lookup = (c->lookup + 1) % c->n_lookups;
+	if (++rt->tried < c->n_lookups) {
+		ask(rt);
+		return;
+	}
+	/* Nobody answered: the last answer stays in use. */
+	rt->until_us = cs_mono_us() + RETRY_US;
+	release(rt);
+}
+
+static void ask(struct route *rt)
+{
+	struct caller *c = rt->caller;
+	char url[256], source[64];
+	struct cs_fetch_opts opts = {.url = url, .timeout_ms = LOOKUP_TIMEOUT_MS};
+
+	snprintf(url, sizeof(url), "%s/v1/lookup?class=%s", c->lookups[c->lookup], rt->class);
+	snprintf(source, sizeof(source), "host!%s", c->addr);
+	if (*c->addr != '\0')
+		opts.interface = source;
+	load.lookups++;
+	cs_fetch_start(load.curl, &opts, on_answer, rt);
+}
+
+void route_request(struct request *r)
+{
+	struct route *rt = route_get(r->caller, r->stream->class);
+
+	if (cs_mono_us() < rt->until_us || r->caller->n_lookups == 0) {
+		use_route(r, rt);
+		return;
+	}
+	TAILQ_INSERT_TAIL(&rt->waiting, r, entry);
+	if (rt->asking)
+		return;
+	rt->asking = true;
+	rt->tried = 0;
+	ask(rt);
+}
