--- a/lib/policy/internal.h
+++ b/lib/policy/internal.h
@@ -123,6 +123,12 @@
 };
 TAILQ_HEAD(cls_list, cls);
 
+/* An instance as a roster knows it. */
+struct roster_name {
+	uint64_t name; /* hash */
+	uint64_t incarnation; /* 0: unknown */
+};
+
 /* A server as a roster knows it. */
 struct roster_server {
 	uint64_t svc; /* hash of the service's name */
@@ -137,9 +143,13 @@
 
 /* Names by which slots were divided, kept until no peer can divide by them any more. */
 struct roster {
-	uint64_t hash; /* 0: before the first view, share 0 everywhere */
+	/*
+	 * 0: before the first view, share 0 everywhere. The upper half covers what the division
+	 * depends on, the lower half the incarnations.
+	 */
+	uint64_t hash;
 	uint64_t limits; /* hash of what the division depends on besides the names */
-	uint64_t *names; /* hashes of instance names, sorted */
+	struct roster_name *names; /* sorted */
 	unsigned n;
 	struct cs_config *cfg;
 	struct roster_server *servers; /* sorted */
@@ -153,6 +163,7 @@
 struct peer {
 	uint64_t name;
 	uint64_t roster; /* 0: unknown, or it cannot name one now */
+	bool fresh; /* heard lately */
 };
 
 /* A zone's room for a service, from digests and hops. */
@@ -208,8 +219,8 @@
 void share_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us);
 void share_refresh(struct cs_policy *p, uint64_t now_us);
 void share_clear(struct cs_policy *p);
-/* Keeps the roster that an instance named last; true if it changed. */
-bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster);
+/* Keeps the roster that an instance named last; true if something changed. */
+bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster, bool fresh);
 /* Slots that the target may run now for a request that ends by deadline_us. */
 unsigned share_limit(const struct cs_policy *p, const struct cs_target *t, unsigned pool,
 		     uint64_t deadline_us, uint64_t now_us);
--- a/lib/policy/policy.c
+++ b/lib/policy/policy.c
@@ -370,7 +370,8 @@
 		latency_report(p, s, v);
 	for (i = 0; i < v->n_members; i++)
 		if (strcmp(v->members[i].zone, p->opts.zone) == 0)
-			peer_set(p, v->members[i].name, v->members[i].roster);
+			peer_set(p, v->members[i].name, v->members[i].roster,
+				 v->members[i].state == CS_MEMBER_ALIVE);
 	share_update(p, v, now_us);
 	spill_update(p, v, now_us);
 }
--- a/lib/policy/policy.h
+++ b/lib/policy/policy.h
@@ -37,10 +37,12 @@
 struct cs_config *cs_policy_config(const struct cs_policy *p);
 
 /*
- * Hash of the names of the listed instances of the own zone by which slots are divided now, or 0
- * while more requests run at some server than the share allows. It travels on heartbeats: when all
- * listed instances of the zone name the same hash, a grown share holds at once; else only after
- * the hold time.
+ * Roster of the own zone by which slots are divided now; 0 before the first view. It travels on
+ * heartbeats: when all listed instances of the zone name the same value, an instance that joined
+ * gets its share at once, else after the hold time. The upper half is a hash of the names and of
+ * the configured limits. The lower half is a hash of the incarnations if the instance agrees; 0 if
+ * more requests run at some server than its share allows; 1 if an instance that left within the
+ * hold time may still have requests at servers.
  */
 uint64_t cs_policy_roster(const struct cs_policy *p);
 
--- a/lib/policy/share.c
+++ b/lib/policy/share.c
@@ -10,6 +10,8 @@
 
 #define RANK_SEED 0x5a1e
 #define HOME_SEED 0x407e
+#define DIVISION 0xffffffff00000000ULL /* see struct roster */
+#define LEAVE_PENDING 1ULL /* lower half; see cs_policy_roster */
 
 /* Slots of one server by pool, and its connections, under one configuration. */
 struct limits {
@@ -21,11 +23,11 @@
 static void roster_build(struct cs_policy *p, struct roster *r, const struct cs_view *v);
 static uint64_t hold_us(const struct cs_policy *p, const struct roster *r, const struct svc *s);
 
-static int cmp_u64(const void *a, const void *b)
+static int cmp_name(const void *a, const void *b)
 {
-	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+	const struct roster_name *x = a, *y = b;
 
-	return x < y ? -1 : x > y;
+	return x->name < y->name ? -1 : x->name > y->name;
 }
 
 static int cmp_server(const void *a, const void *b)
@@ -78,12 +80,13 @@
 	l->connections = cfg->services[si].connections;
 }
 
-/* Position of a hash in a sorted array, or -1. */
-static int find_u64(const uint64_t *a, unsigned n, uint64_t v)
+/* Position of an instance in a roster, or -1. */
+static int find_name(const struct roster *r, uint64_t name)
 {
-	const uint64_t *at = bsearch(&v, a, n, sizeof(*a), cmp_u64);
+	struct roster_name key = {name, 0}, *at;
 
-	return at == NULL ? -1 : (int)(at - a);
+	at = r->n > 0 ? bsearch(&key, r->names, r->n, sizeof(key), cmp_name) : NULL;
+	return at == NULL ? -1 : (int)(at - r->names);
 }
 
 /* True if every name of a is also in b. */
@@ -92,11 +95,36 @@
 	unsigned i;
 
 	for (i = 0; i < a->n; i++)
-		if (find_u64(b->names, b->n, a->names[i]) < 0)
+		if (find_name(b, a->names[i].name) < 0)
+			return false;
+	return true;
+}
+
+/* True if no process of the former roster has ended, as far as names and incarnations show. */
+static bool nobody_left(const struct roster *former, const struct roster *now)
+{
+	unsigned i;
+	int at;
+
+	for (i = 0; i < former->n; i++) {
+		uint64_t was = former->names[i].incarnation;
+
+		at = find_name(now, former->names[i].name);
+		if (at < 0)
 			return false;
+		if (was != 0 && now->names[at].incarnation != 0 &&
+		    now->names[at].incarnation != was)
+			return false;
+	}
 	return true;
 }
 
+/* Part of a roster's hash that covers what the division depends on. */
+static uint64_t division(uint64_t hash)
+{
+	return hash & DIVISION;
+}
+
 static const uint64_t *homes_of(const struct roster *r, uint64_t svc)
 {
 	unsigned i;
@@ -125,7 +153,7 @@
 	const uint64_t *homes = NULL;
 	unsigned base, rest, i, ahead = 0;
 	uint64_t mine;
-	int me = find_u64(r->names, r->n, p->self);
+	int me = find_name(r, p->self);
 	bool home;
 
 	if (me < 0 || r->n == 0)
@@ -147,7 +175,7 @@
 
 		if ((int)i == me)
 			continue;
-		other = pair_hash(t->hash, r->names[i], RANK_SEED);
+		other = pair_hash(t->hash, r->names[i].name, RANK_SEED);
 		other_home = homes != NULL && homes[i] == t->hash;
 		if (other_home != home ? other_home : other > mine)
 			ahead++;
@@ -155,7 +183,7 @@
 	return base + (ahead < rest);
 }
 
-/* True if some listed peer last named another roster than the present one. */
+/* True if some listed peer last named another division, or runs more than its share of this one. */
 static bool peer_differs(const struct cs_policy *p, const struct roster *now)
 {
 	unsigned i;
@@ -163,25 +191,38 @@
 	for (i = 0; i < p->n_peers; i++) {
 		if (p->peers[i].name == p->self || p->peers[i].roster == 0)
 			continue;
-		if (find_u64(now->names, now->n, p->peers[i].name) < 0)
+		if (find_name(now, p->peers[i].name) < 0)
 			continue;
-		if (p->peers[i].roster != now->hash)
+		if (division(p->peers[i].roster) != division(now->hash) ||
+		    division(p->peers[i].roster) == p->peers[i].roster)
 			return true;
 	}
 	return false;
 }
 
-/* True if all listed peers named the present roster last. */
+/* True if some process that may still have requests at servers has left the rosters. */
+static bool leave_pending(const struct cs_policy *p)
+{
+	unsigned i;
+
+	for (i = 0; i + 1 < p->n_rosters; i++)
+		if (!nobody_left(&p->rosters[i], &p->rosters[p->n_rosters - 1]))
+			return true;
+	return false;
+}
+
+/* True if all listed peers named the present roster lately. */
 static bool peers_agree(const struct cs_policy *p, const struct roster *now)
 {
 	unsigned i, agreed = 0;
 
-	if (find_u64(now->names, now->n, p->self) < 0)
+	if (find_name(now, p->self) < 0 || leave_pending(p))
 		return false;
 	for (i = 0; i < p->n_peers; i++) {
-		if (p->peers[i].name == p->self || p->peers[i].roster != now->hash)
+		if (p->peers[i].name == p->self || p->peers[i].roster != now->hash ||
+		    !p->peers[i].fresh)
 			continue;
-		if (find_u64(now->names, now->n, p->peers[i].name) >= 0)
+		if (find_name(now, p->peers[i].name) >= 0)
 			agreed++;
 	}
 	return agreed + 1 == now->n;
@@ -264,7 +305,6 @@
 /* Drops former rosters that bound nothing any more and finds the next time to look. */
 static void rosters_prune(struct cs_policy *p, uint64_t now_us)
 {
-	const struct roster *now;
 	struct svc *s;
 	unsigned i = 0;
 	bool agree;
@@ -277,7 +317,6 @@
 		struct roster *r = &p->rosters[i];
 		bool counts = false;
 
-		now = &p->rosters[p->n_rosters - 1];
 		TAILQ_FOREACH(s, &p->svcs, entry) {
 			uint64_t due = r->left_us + hold_us(p, r, s);
 
@@ -286,8 +325,11 @@
 			if (due > now_us && due < p->share_due_us)
 				p->share_due_us = due;
 		}
-		/* Requests of an instance that left may still run, so its roster is held. */
-		if (agree && names_within(r, now))
+		/*
+		 * Agreement ends only the time before the first view. A roster that this instance
+		 * named is held: a peer may return to it and count on what it heard then.
+		 */
+		if (agree && r->hash == 0)
 			counts = false;
 		if (counts)
 			i++;
@@ -341,7 +383,8 @@
 			uint64_t best = 0;
 
 			for (j = first; j < last; j++) {
-				uint64_t x = pair_hash(r->servers[j].name, r->names[i], HOME_SEED);
+				uint64_t x =
+					pair_hash(r->servers[j].name, r->names[i].name, HOME_SEED);
 
 				if (x >= best) {
 					best = x;
@@ -383,11 +426,17 @@
 	return h;
 }
 
+static void roster_add(struct roster *r, const struct cs_member *m)
+{
+	r->names[r->n].name = cs_hash_str(m->name, 0);
+	r->names[r->n++].incarnation = m->incarnation;
+}
+
 /* Takes the listed instances and servers of the own zone from a view. */
 static void roster_build(struct cs_policy *p, struct roster *r, const struct cs_view *v)
 {
 	const struct cs_config *cfg = p->cfg;
-	uint64_t h = 0;
+	uint64_t h, living;
 	unsigned i;
 
 	memset(r, 0, sizeof(*r));
@@ -395,8 +444,8 @@
 	r->names = cs_xcalloc(v->n_members, sizeof(*r->names));
 	for (i = 0; i < v->n_members; i++)
 		if (v->members[i].listed && strcmp(v->members[i].zone, p->opts.zone) == 0)
-			r->names[r->n++] = cs_hash_str(v->members[i].name, 0);
-	qsort(r->names, r->n, sizeof(*r->names), cmp_u64);
+			roster_add(r, &v->members[i]);
+	qsort(r->names, r->n, sizeof(*r->names), cmp_name);
 	r->servers = cs_xcalloc(v->n_servers, sizeof(*r->servers));
 	for (i = 0; i < v->n_servers; i++) {
 		if (strcmp(v->servers[i].zone, p->opts.zone) != 0)
@@ -410,8 +459,16 @@
 		r->limits = cs_hash(r->servers, r->n_servers * sizeof(*r->servers), r->limits);
 		roster_homes(p, r);
 	}
-	h = cs_hash(r->names, r->n * sizeof(*r->names), r->limits);
-	r->hash = h != 0 ? h : 1;
+	h = r->limits;
+	for (i = 0; i < r->n; i++)
+		h = cs_hash(&r->names[i].name, sizeof(r->names[i].name), h);
+	living = cs_hash(r->names, r->n * sizeof(*r->names), 0);
+	r->hash = (h & DIVISION) | (living & ~DIVISION);
+	/* Low values of the halves have a meaning of their own. */
+	if (division(r->hash) == 0)
+		r->hash |= 1ULL << 32;
+	if ((r->hash & ~DIVISION) <= LEAVE_PENDING)
+		r->hash |= LEAVE_PENDING + 1;
 }
 
 static void loans_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us)
@@ -483,7 +540,7 @@
 	free(p->peers);
 }
 
-bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster)
+bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster, bool fresh)
 {
 	uint64_t name = cs_hash_str(instance, 0);
 	unsigned i;
@@ -494,51 +551,48 @@
 		p->peers = cs_xrealloc(p->peers, i + 1, sizeof(*p->peers));
 		p->peers[p->n_peers++].name = name;
 		p->peers[i].roster = 0;
+		p->peers[i].fresh = false;
 	}
-	if (p->peers[i].roster == roster)
+	if (p->peers[i].roster == roster && p->peers[i].fresh == fresh)
 		return false;
 	p->peers[i].roster = roster;
+	p->peers[i].fresh = fresh;
 	return true;
 }
 
 void cs_policy_peer_roster(struct cs_policy *p, const char *instance, uint64_t roster,
 			   uint64_t now_us)
 {
-	if (peer_set(p, instance, roster) && p->n_rosters > 1)
+	if (peer_set(p, instance, roster, true) && p->n_rosters > 1)
 		share_refresh(p, now_us);
 }
 
-uint64_t cs_policy_roster(const struct cs_policy *p)
+/* Pool that loans apply to: the small one unless the service has bulk classes only. */
+static unsigned loan_pool(const struct cs_target *t)
 {
-	const struct roster *now;
-	const struct cs_target *t;
-	unsigned i, k;
+	return t->svc->bulk_only ? POOL_BULK : POOL_SMALL;
+}
 
-	if (p->n_rosters < 2 && (p->n_rosters == 0 || p->rosters[0].hash == 0))
-		return 0;
-	now = &p->rosters[p->n_rosters - 1];
-	for (i = 0; i + 1 < p->n_rosters; i++)
-		if (!names_within(&p->rosters[i], now))
-			return 0;
-	TAILQ_FOREACH(t, &p->all, in_all) {
-		unsigned run = 0, own = 0;
+/* True if more requests run at some server than the share in force allows. */
+static bool over_share(const struct cs_policy *p)
+{
+	const struct cs_target *t;
+	unsigned k;
 
-		for (k = 0; k < POOLS; k++) {
-			run += t->in_flight[k];
-			own += t->share[k];
-			if (t->in_flight[k] > t->share[k] + t->borrowed)
-				return 0;
-		}
-		if (run > own + t->borrowed)
-			return 0;
-	}
-	return now->hash;
+	TAILQ_FOREACH(t, &p->all, in_all)
+		for (k = 0; k < POOLS; k++)
+			if (t->in_flight[k] > t->share[k] + (k == loan_pool(t) ? t->borrowed : 0))
+				return true;
+	return false;
 }
 
-/* Pool that loans apply to: the small one unless the service has bulk classes only. */
-static unsigned loan_pool(const struct cs_target *t)
+uint64_t cs_policy_roster(const struct cs_policy *p)
 {
-	return t->svc->bulk_only ? POOL_BULK : POOL_SMALL;
+	uint64_t hash = p->n_rosters > 0 ? p->rosters[p->n_rosters - 1].hash : 0;
+
+	if (hash == 0 || over_share(p))
+		return hash & DIVISION;
+	return leave_pending(p) ? (hash & DIVISION) | LEAVE_PENDING : hash;
 }
 
 /* Slots of the own share that are not lent. */
