--- /dev/null
+++ b/lib/policy/choice.c
@@ -0,0 +1,115 @@
+/* Choice of a server among those that can take the request now. */
+#include "policy/internal.h"
+
+#define SAMPLE_TRIES 4 /* draws for each of the sampled servers */
+
+bool choice_tried(const struct cs_ask *ask, const struct cs_target *t)
+{
+	unsigned i;
+
+	for (i = 0; i < ask->n_tried && i < CS_TRIED_MAX; i++)
+		if (ask->tried[i] == t)
+			return true;
+	return false;
+}
+
+static bool fits(const struct cs_policy *p, const struct cs_target *t, const struct cls *c,
+		 const struct cs_ask *ask, uint64_t now_us)
+{
+	return !choice_tried(ask, t) && share_has_room(p, t, c->pool, ask->deadline_us, now_us);
+}
+
+/* First fitting target from a given place on, or NULL. */
+static struct cs_target *scan_from(struct cs_policy *p, struct cls *c, const struct cs_ask *ask,
+				   unsigned start, uint64_t now_us)
+{
+	struct svc *s = c->svc;
+	unsigned n = s->n_open[c->pool], i;
+
+	for (i = 0; i < n; i++) {
+		struct cs_target *t = s->open[c->pool][(start + i) % n];
+
+		if (fits(p, t, c, ask, now_us))
+			return t;
+	}
+	return NULL;
+}
+
+static double score(const struct cs_policy *p, const struct cs_target *t, uint64_t now_us)
+{
+	if (p->opts.choice == CS_CHOICE_REPORTED)
+		return t->reported_load;
+	return (t->n_flights + 1) * latency_ratio(t, now_us) / warm_part(t, now_us);
+}
+
+/* Least score of CHOICES sampled targets. */
+static struct cs_target *pick_least(struct cs_policy *p, struct cls *c, const struct cs_ask *ask,
+				    uint64_t now_us)
+{
+	struct svc *s = c->svc;
+	unsigned n = s->n_open[c->pool], found = 0, tries;
+	struct cs_target *best = NULL;
+	double least = 0;
+
+	for (tries = 0; tries < CHOICES * SAMPLE_TRIES && found < CHOICES; tries++) {
+		struct cs_target *t = s->open[c->pool][cs_rng_below(&p->rng, n)];
+		double x;
+
+		if (t == best || !fits(p, t, c, ask, now_us))
+			continue;
+		found++;
+		/* An ejected server that is open is due for its one trial request. */
+		if (t->ejected)
+			return t;
+		x = score(p, t, now_us);
+		if (best == NULL || x < least) {
+			best = t;
+			least = x;
+		}
+	}
+	return best;
+}
+
+static struct cs_target *pick_reported(struct cs_policy *p, struct cls *c, const struct cs_ask *ask,
+				       uint64_t now_us)
+{
+	struct svc *s = c->svc;
+	struct cs_target *best = NULL;
+	unsigned i;
+
+	for (i = 0; i < s->n_open[c->pool]; i++) {
+		struct cs_target *t = s->open[c->pool][i];
+
+		if (!fits(p, t, c, ask, now_us))
+			continue;
+		if (best == NULL || score(p, t, now_us) < score(p, best, now_us))
+			best = t;
+	}
+	return best;
+}
+
+struct cs_target *choice_pick(struct cs_policy *p, struct cls *c, const struct cs_ask *ask,
+			      uint64_t now_us)
+{
+	struct svc *s = c->svc;
+	unsigned n = s->n_open[c->pool];
+	struct cs_target *t = NULL;
+
+	if (n == 0)
+		return NULL;
+	switch (p->opts.choice) {
+	case CS_CHOICE_LEAST:
+		t = pick_least(p, c, ask, now_us);
+		break;
+	case CS_CHOICE_REPORTED:
+		t = pick_reported(p, c, ask, now_us);
+		break;
+	case CS_CHOICE_RR:
+		return scan_from(p, c, ask, s->rr[c->pool]++ % n, now_us);
+	case CS_CHOICE_RANDOM:
+		break;
+	}
+	if (t != NULL)
+		return t;
+	return scan_from(p, c, ask, cs_rng_below(&p->rng, n), now_us);
+}
--- /dev/null
+++ b/lib/policy/plan.c
@@ -0,0 +1,342 @@
+/*
+ * Steering plan: for each service and caller zone the zones that take its callers, nearest first
+ * under capacity less headroom. It is worked out once for a view, so that a lookup only hashes.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "policy/internal.h"
+
+/* A zone that takes part of a caller zone's callers; up_to is the running sum of parts. */
+struct part {
+	uint16_t zone;
+	float up_to;
+};
+
+struct cs_plan {
+	struct cs_config *cfg;
+	struct cs_member *members; /* usable ones, grouped by zone */
+	unsigned *first; /* per zone, index of its first member; n_zones + 1 entries */
+	uint16_t *near; /* per caller zone: all zones, nearest first */
+	struct part *parts; /* all rows one after the other */
+	unsigned *row; /* per (service, caller zone): its first part; one more at the end */
+	unsigned n_parts, cap_parts;
+};
+
+static bool usable(const struct cs_config *cfg, const struct cs_member *m)
+{
+	return m->listed && m->ready && m->state <= CS_MEMBER_SUSPECT &&
+	       cs_config_zone(cfg, m->zone) >= 0;
+}
+
+/* Copies the usable members, grouped by zone. */
+static void members_build(struct cs_plan *plan, const struct cs_view *v)
+{
+	const struct cs_config *cfg = plan->cfg;
+	int *zone = cs_xcalloc(v->n_members, sizeof(*zone));
+	unsigned i, n = 0, *at;
+
+	plan->first = cs_xcalloc(cfg->n_zones + 1, sizeof(*plan->first));
+	for (i = 0; i < v->n_members; i++) {
+		zone[i] = usable(cfg, &v->members[i]) ? cs_config_zone(cfg, v->members[i].zone)
+						      : -1;
+		if (zone[i] >= 0) {
+			plan->first[zone[i] + 1]++;
+			n++;
+		}
+	}
+	for (i = 0; i < cfg->n_zones; i++)
+		plan->first[i + 1] += plan->first[i];
+	plan->members = cs_xcalloc(n, sizeof(*plan->members));
+	at = cs_xcalloc(cfg->n_zones + 1, sizeof(*at));
+	memcpy(at, plan->first, (cfg->n_zones + 1) * sizeof(*at));
+	for (i = 0; i < v->n_members; i++)
+		if (zone[i] >= 0)
+			plan->members[at[zone[i]]++] = v->members[i];
+	free(at);
+	free(zone);
+}
+
+static unsigned members_in(const struct cs_plan *plan, unsigned zone)
+{
+	return plan->first[zone + 1] - plan->first[zone];
+}
+
+struct distance {
+	unsigned us;
+	uint64_t order; /* among equally near zones; differs by caller zone */
+	uint16_t zone;
+};
+
+static int cmp_distance(const void *a, const void *b)
+{
+	const struct distance *x = a, *y = b;
+
+	if (x->us != y->us)
+		return x->us < y->us ? -1 : 1;
+	return x->order < y->order ? -1 : x->order > y->order;
+}
+
+static void near_build(struct cs_plan *plan)
+{
+	const struct cs_config *cfg = plan->cfg;
+	unsigned n = cfg->n_zones, from, to;
+	struct distance *d = cs_xcalloc(n, sizeof(*d));
+
+	plan->near = cs_xcalloc((size_t)n * n, sizeof(*plan->near));
+	for (from = 0; from < n; from++) {
+		for (to = 0; to < n; to++) {
+			d[to].us = cs_config_delay_us(cfg, from, to);
+			d[to].order = cs_hash_str(cfg->zones[to].name, from + 1);
+			d[to].zone = (uint16_t)to;
+		}
+		qsort(d, n, sizeof(*d), cmp_distance);
+		for (to = 0; to < n; to++)
+			plan->near[from * n + to] = d[to].zone;
+	}
+	free(d);
+}
+
+static void part_add(struct cs_plan *plan, unsigned zone, double up_to)
+{
+	if (plan->n_parts == plan->cap_parts) {
+		plan->cap_parts = plan->cap_parts != 0 ? 2 * plan->cap_parts : 64;
+		plan->parts = cs_xrealloc(plan->parts, plan->cap_parts, sizeof(*plan->parts));
+	}
+	plan->parts[plan->n_parts].zone = (uint16_t)zone;
+	plan->parts[plan->n_parts++].up_to = (float)up_to;
+}
+
+/* Figures of one service while its rows are made. */
+struct demand {
+	double *need; /* requests of each zone's callers */
+	double *room; /* slots less headroom that are not taken yet */
+	bool *entry; /* the zone has entry instances and servers */
+};
+
+static void demand_fill(const struct cs_plan *plan, const struct cs_view *v, unsigned service,
+			struct demand *d)
+{
+	const struct cs_config *cfg = plan->cfg;
+	double keep = 1 - cfg->services[service].headroom_pct / 100;
+	unsigned i, z;
+
+	for (z = 0; z < cfg->n_zones; z++) {
+		d->need[z] = d->room[z] = 0;
+		d->entry[z] = members_in(plan, z) > 0;
+	}
+	for (i = 0; i < v->n_loads; i++) {
+		const struct cs_zone_load *l = &v->loads[i];
+		int zone = cs_config_zone(cfg, l->zone);
+
+		if (zone < 0 || strcmp(l->service, cfg->services[service].name) != 0)
+			continue;
+		d->room[zone] = l->capacity * keep;
+		d->need[zone] = l->in_flight + l->waiting;
+		if (l->foreign < d->need[zone])
+			d->need[zone] -= l->foreign;
+		if (l->capacity == 0)
+			d->entry[zone] = false;
+	}
+}
+
+/* Places the demand of one caller zone that its own zone cannot take. */
+static void row_overflow(struct cs_plan *plan, struct demand *d, unsigned from, double need,
+			 double up_to)
+{
+	unsigned n = plan->cfg->n_zones, i, nearest = n;
+	double left = need > 0 ? need * (1 - up_to) : 0;
+
+	for (i = 0; i < n && up_to < 1; i++) {
+		unsigned to = plan->near[from * n + i];
+		double take;
+
+		if (to == from || !d->entry[to])
+			continue;
+		if (nearest == n)
+			nearest = to;
+		if (need <= 0)
+			break;
+		take = d->room[to] < left ? d->room[to] : left;
+		if (take <= 0)
+			continue;
+		d->room[to] -= take;
+		left -= take;
+		up_to = left <= 1e-9 ? 1 : up_to + take / need;
+		part_add(plan, to, up_to);
+	}
+	/* What fits nowhere goes to the nearest zone; admission there refuses the excess. */
+	if (up_to < 1)
+		part_add(plan, d->entry[from] || nearest == n ? from : nearest, 1);
+}
+
+static void rows_build(struct cs_plan *plan, const struct cs_view *v)
+{
+	const struct cs_config *cfg = plan->cfg;
+	unsigned n = cfg->n_zones, s, z;
+	struct demand d;
+
+	d.need = cs_xcalloc(n, sizeof(*d.need));
+	d.room = cs_xcalloc(n, sizeof(*d.room));
+	d.entry = cs_xcalloc(n, sizeof(*d.entry));
+	plan->row = cs_xcalloc((size_t)cfg->n_services * n + 1, sizeof(*plan->row));
+	for (s = 0; s < cfg->n_services; s++) {
+		demand_fill(plan, v, s, &d);
+		/* Local demand comes first, then the overflow takes what is left. */
+		for (z = 0; z < n; z++)
+			if (d.entry[z])
+				d.room[z] -= d.need[z];
+		for (z = 0; z < n; z++) {
+			double stay = d.entry[z] ? 1 : 0;
+
+			if (d.entry[z] && d.room[z] < 0 && d.need[z] > 0)
+				stay = 1 + d.room[z] / d.need[z];
+			plan->row[s * n + z] = plan->n_parts;
+			if (stay > 0)
+				part_add(plan, z, stay);
+			if (stay < 1)
+				row_overflow(plan, &d, z, d.need[z], stay);
+		}
+	}
+	plan->row[cfg->n_services * n] = plan->n_parts;
+	free(d.need);
+	free(d.room);
+	free(d.entry);
+}
+
+struct cs_plan *cs_plan_create(const struct cs_view *v, int64_t wall_ms)
+{
+	struct cs_plan *plan;
+
+	if (v->cfg == NULL)
+		return NULL;
+	plan = cs_xcalloc(1, sizeof(*plan));
+	plan->cfg = cs_config_ref(v->cfg);
+	members_build(plan, v);
+	near_build(plan);
+	rows_build(plan, v);
+	return plan;
+}
+
+void cs_plan_destroy(struct cs_plan *plan)
+{
+	if (plan == NULL)
+		return;
+	free(plan->members);
+	free(plan->first);
+	free(plan->near);
+	free(plan->parts);
+	free(plan->row);
+	cs_config_unref(plan->cfg);
+	free(plan);
+}
+
+/* Uniform part of a hash. */
+static double unit(uint64_t h)
+{
+	return (double)(h >> 11) * 0x1.0p-53;
+}
+
+/* Member of a zone for a caller: the k-th by rendezvous hash. */
+static const struct cs_member *member_for(const struct cs_plan *plan, unsigned zone, uint64_t h,
+					  const struct cs_member *other_than)
+{
+	const struct cs_member *best = NULL;
+	uint64_t most = 0;
+	unsigned i;
+
+	for (i = plan->first[zone]; i < plan->first[zone + 1]; i++) {
+		const struct cs_member *m = &plan->members[i];
+		uint64_t x;
+
+		if (m == other_than)
+			continue;
+		x = cs_hash_str(m->name, h);
+		if (best != NULL && x < most)
+			continue;
+		best = m;
+		most = x;
+	}
+	return best;
+}
+
+static void add(struct cs_located *out, const struct cs_member *m, const char *reason)
+{
+	unsigned i;
+
+	if (m == NULL || out->n == CS_LOCATE_MAX)
+		return;
+	for (i = 0; i < out->n; i++)
+		if (out->members[i] == m)
+			return;
+	out->members[out->n] = m;
+	out->reason[out->n++] = reason;
+}
+
+/* True if the caller is still to be sent to a zone, by its drains. */
+static bool stays(const struct cs_plan *plan, unsigned zone, uint64_t h, int64_t wall_ms)
+{
+	double left;
+
+	if (plan->cfg->n_drains == 0)
+		return true;
+	left = cs_shift_entry(plan->cfg, zone, wall_ms + plan->cfg->shift.lookup_ttl_ms);
+	return left >= 1 || unit(cs_hash(&h, sizeof(h), 0xd7a1)) < left;
+}
+
+/* First zone of a caller: its part of the plan, unless a drain moves it to the next one. */
+static unsigned first_zone(const struct cs_plan *plan, unsigned service, unsigned from, uint64_t h,
+			   int64_t wall_ms, const char **reason)
+{
+	unsigned n = plan->cfg->n_zones, i, row = service * n + from, zone = from;
+	double u = unit(h);
+
+	for (i = plan->row[row]; i < plan->row[row + 1]; i++) {
+		zone = plan->parts[i].zone;
+		if (u < plan->parts[i].up_to)
+			break;
+	}
+	*reason = zone == from ? "nearest zone" : "nearest zone with room";
+	if (members_in(plan, zone) > 0 && stays(plan, zone, h, wall_ms))
+		return zone;
+	for (i = 0; i < n; i++) {
+		unsigned to = plan->near[from * n + i];
+
+		if (to == zone || members_in(plan, to) == 0 || !stays(plan, to, h, wall_ms))
+			continue;
+		*reason = "zone is drained";
+		return to;
+	}
+	return zone;
+}
+
+bool cs_plan_locate(const struct cs_plan *plan, unsigned class_index, const uint8_t addr[16],
+		    int64_t wall_ms, struct cs_located *out)
+{
+	const struct cs_config *cfg = plan->cfg;
+	unsigned n = cfg->n_zones, i, zone, from, service;
+	uint64_t h = cs_hash(addr, 16, 0x10ca7e);
+	const char *reason;
+	int at;
+
+	out->n = 0;
+	if (class_index >= cfg->n_classes || n == 0)
+		return false;
+	service = cfg->classes[class_index].service;
+	at = cs_config_locate(cfg, addr);
+	from = at >= 0 ? (unsigned)at : (unsigned)(cs_hash(&h, sizeof(h), 1) % n);
+	zone = first_zone(plan, service, from, h, wall_ms, &reason);
+	add(out, member_for(plan, zone, h, NULL), reason);
+	for (i = 0; i < n && out->n < 2; i++) {
+		unsigned to = plan->near[from * n + i];
+
+		if (to != zone && stays(plan, to, h, wall_ms))
+			add(out, member_for(plan, to, h, NULL), "second zone");
+	}
+	if (out->n > 0)
+		add(out, member_for(plan, zone, h, out->members[0]), "same zone");
+	/* With a single zone left that is not drained, a drained one is better than none. */
+	for (i = 0; i < n && out->n < 2; i++)
+		add(out, member_for(plan, plan->near[from * n + i], h, NULL), "only zone left");
+	return out->n > 0;
+}
--- /dev/null
+++ b/lib/policy/policy.c
@@ -0,0 +1,425 @@
+/* The policy object: what it keeps from views, and the names, loads and states of its targets. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "policy/internal.h"
+
+#define WARM_US (10 * CS_US_PER_S) /* slow start */
+#define WARM_MIN 0.1
+
+static int target_cmp(struct cs_target *a, struct cs_target *b);
+static void target_free(struct cs_policy *p, struct cs_target *t);
+
+CS_RB_GENERATE(target_tree, cs_target, entry, target_cmp)
+
+static int target_cmp(struct cs_target *a, struct cs_target *b)
+{
+	return strcmp(a->name, b->name);
+}
+
+struct cs_policy *cs_policy_create(const struct cs_policy_opts *opts)
+{
+	struct cs_policy *p = cs_xcalloc(1, sizeof(*p));
+
+	p->opts = *opts;
+	p->self = cs_hash_str(opts->instance, 0);
+	cs_rng_seed(&p->rng, opts->seed);
+	p->zone = -1;
+	p->share_due_us = UINT64_MAX;
+	p->stay = 1;
+	RB_INIT(&p->targets);
+	TAILQ_INIT(&p->all);
+	TAILQ_INIT(&p->svcs);
+	TAILQ_INIT(&p->classes);
+	return p;
+}
+
+void cs_policy_destroy(struct cs_policy *p)
+{
+	struct cs_target *t, *tn;
+	struct cls *c, *cn;
+	struct svc *s, *sn;
+	unsigned k;
+
+	if (p == NULL)
+		return;
+	share_clear(p);
+	spill_clear(p);
+	TAILQ_FOREACH_SAFE(t, &p->all, in_all, tn)
+		target_free(p, t);
+	TAILQ_FOREACH_SAFE(c, &p->classes, entry, cn)
+		free(c);
+	TAILQ_FOREACH_SAFE(s, &p->svcs, entry, sn) {
+		for (k = 0; k < POOLS; k++)
+			free(s->open[k]);
+		free(s);
+	}
+	free(p->by_index);
+	cs_config_unref(p->cfg);
+	free(p);
+}
+
+/* Takes a target out of or puts it into the open set of a pool. */
+static void open_set(struct cs_target *t, unsigned pool, bool open)
+{
+	struct svc *s = t->svc;
+	struct cs_target *last;
+
+	if (open == (t->open_at[pool] >= 0))
+		return;
+	if (open) {
+		t->open_at[pool] = (int)s->n_open[pool];
+		s->open[pool][s->n_open[pool]++] = t;
+		return;
+	}
+	last = s->open[pool][--s->n_open[pool]];
+	s->open[pool][t->open_at[pool]] = last;
+	last->open_at[pool] = t->open_at[pool];
+	t->open_at[pool] = -1;
+}
+
+double warm_part(const struct cs_target *t, uint64_t now_us)
+{
+	double part;
+
+	if (t->warm_us == 0 || now_us >= t->warm_us + WARM_US)
+		return 1;
+	part = (double)(now_us - t->warm_us) / (double)WARM_US;
+	return part > WARM_MIN ? part : WARM_MIN;
+}
+
+static bool target_usable(const struct cs_target *t)
+{
+	return t->listed && t->state == CS_SERVER_READY;
+}
+
+/* Sums the shares of usable targets whenever one of them changes. */
+static void capacity_set(struct cs_target *t)
+{
+	unsigned k, now;
+
+	for (k = 0; k < POOLS; k++) {
+		now = target_usable(t) ? t->share[k] : 0;
+		t->svc->capacity[k] += now - t->counted[k];
+		t->counted[k] = now;
+	}
+}
+
+void open_refresh(struct cs_policy *p, struct cs_target *t, uint64_t now_us)
+{
+	unsigned k;
+	bool open = target_usable(t) && !backoff_active(t, now_us) && !eject_blocks(t, now_us);
+
+	capacity_set(t);
+	for (k = 0; k < POOLS; k++) {
+		unsigned most = share_limit(p, t, k, now_us, now_us);
+		/* A server that started lately gets part of the share, at least one request. */
+		unsigned warm = (unsigned)(most * warm_part(t, now_us));
+		bool room = t->in_flight[k] < (warm > 0 ? warm : 1) &&
+			    share_has_room(p, t, k, now_us, now_us);
+
+		open_set(t, k, open && room);
+	}
+}
+
+void open_refresh_all(struct cs_policy *p, struct svc *s, uint64_t now_us)
+{
+	struct cs_target *t;
+
+	TAILQ_FOREACH(t, &s->targets, in_svc)
+		open_refresh(p, t, now_us);
+}
+
+/* Time alone changes what is open; each tick looks at one part of the targets. */
+void policy_tick(struct cs_policy *p, uint64_t now_us)
+{
+	unsigned n = 0;
+
+	if (now_us < p->tick_us + TICK_US)
+		return;
+	p->tick_us = now_us;
+	if (now_us >= p->share_due_us)
+		share_refresh(p, now_us);
+	for (n = p->n_targets / TICK_PARTS + 1; n > 0 && p->n_targets > 0; n--) {
+		if (p->cursor == NULL)
+			p->cursor = TAILQ_FIRST(&p->all);
+		eject_check(p, p->cursor, now_us);
+		open_refresh(p, p->cursor, now_us);
+		p->cursor = TAILQ_NEXT(p->cursor, in_all);
+	}
+}
+
+int64_t policy_wall_ms(const struct cs_policy *p, uint64_t now_us)
+{
+	if (p->wall_ms == 0)
+		return cs_wall_ms();
+	return p->wall_ms + ((int64_t)now_us - (int64_t)p->wall_at_us) / (int64_t)CS_US_PER_MS;
+}
+
+void cs_policy_set_wall(struct cs_policy *p, int64_t wall_ms, uint64_t now_us)
+{
+	p->wall_ms = wall_ms;
+	p->wall_at_us = now_us;
+}
+
+struct cls *policy_class(struct cs_policy *p, unsigned class_index)
+{
+	return class_index < p->n_index ? p->by_index[class_index] : NULL;
+}
+
+struct cs_config *cs_policy_config(const struct cs_policy *p)
+{
+	return p->cfg;
+}
+
+static struct svc *svc_get(struct cs_policy *p, const char *name)
+{
+	struct svc *s;
+
+	TAILQ_FOREACH(s, &p->svcs, entry)
+		if (strcmp(s->name, name) == 0)
+			return s;
+	s = cs_xcalloc(1, sizeof(*s));
+	cs_copy(s->name, sizeof(s->name), name);
+	s->index = -1;
+	TAILQ_INIT(&s->targets);
+	TAILQ_INSERT_TAIL(&p->svcs, s, entry);
+	return s;
+}
+
+static struct cls *class_get(struct cs_policy *p, const char *name)
+{
+	struct cls *c;
+
+	TAILQ_FOREACH(c, &p->classes, entry)
+		if (strcmp(c->name, name) == 0)
+			return c;
+	c = cs_xcalloc(1, sizeof(*c));
+	cs_copy(c->name, sizeof(c->name), name);
+	TAILQ_INIT(&c->queue);
+	TAILQ_INSERT_TAIL(&p->classes, c, entry);
+	return c;
+}
+
+/* Requests that wait under a class of the former configuration get the present index. */
+static void waiting_renumber(struct cls *c)
+{
+	struct cs_ask *ask;
+
+	TAILQ_FOREACH(ask, &c->queue, entry)
+		ask->class_index = c->index >= 0 ? (unsigned)c->index : UINT32_MAX;
+}
+
+static void config_set(struct cs_policy *p, struct cs_config *cfg)
+{
+	struct svc *s;
+	struct cls *c;
+	unsigned i;
+
+	if (p->cfg != NULL && p->cfg->revision >= cfg->revision)
+		return;
+	cs_config_unref(p->cfg);
+	p->cfg = cs_config_ref(cfg);
+	p->zone = cs_config_zone(cfg, p->opts.zone);
+	TAILQ_FOREACH(s, &p->svcs, entry) {
+		s->index = -1;
+		s->bulk_only = true;
+	}
+	TAILQ_FOREACH(c, &p->classes, entry)
+		c->index = -1;
+	for (i = 0; i < cfg->n_services; i++) {
+		s = svc_get(p, cfg->services[i].name);
+		s->index = (int)i;
+		s->headroom = cfg->services[i].headroom_pct / 100;
+		s->bulk_only = true;
+	}
+	p->by_index = cs_xrealloc(p->by_index, cfg->n_classes, sizeof(void *));
+	p->n_index = cfg->n_classes;
+	for (i = 0; i < cfg->n_classes; i++) {
+		c = class_get(p, cfg->classes[i].name);
+		s = svc_get(p, cfg->services[cfg->classes[i].service].name);
+		/* The service's counts of waiting requests follow the class. */
+		if (c->svc != NULL)
+			c->svc->waiting[c->pool] -= c->n_queue;
+		c->svc = s;
+		c->pool = cfg->classes[i].bulk ? POOL_BULK : POOL_SMALL;
+		s->waiting[c->pool] += c->n_queue;
+		if (!cfg->classes[i].bulk)
+			s->bulk_only = false;
+		c->conf = cfg->classes[i];
+		c->index = (int)i;
+		p->by_index[i] = c;
+	}
+	TAILQ_FOREACH(c, &p->classes, entry)
+		waiting_renumber(c);
+}
+
+struct cs_target *target_find(struct cs_policy *p, const char *name)
+{
+	struct cs_target key;
+
+	cs_copy(key.name, sizeof(key.name), name);
+	return RB_FIND(target_tree, &p->targets, &key);
+}
+
+static struct cs_target *target_get(struct cs_policy *p, const struct cs_server *sv,
+				    uint64_t now_us)
+{
+	struct cs_target *t = target_find(p, sv->name);
+	struct svc *s;
+	unsigned k;
+
+	if (t != NULL)
+		return t;
+	t = cs_xcalloc(1, sizeof(*t));
+	cs_copy(t->name, sizeof(t->name), sv->name);
+	t->hash = cs_hash_str(t->name, 0);
+	t->svc = s = svc_get(p, sv->service);
+	t->slow = t->reported = 1;
+	for (k = 0; k < POOLS; k++)
+		t->open_at[k] = -1;
+	t->state = t->viewed = sv->state;
+	/* A server that appears after the first view may be cold. */
+	if (p->n_rosters > 0)
+		t->warm_us = now_us;
+	RB_INSERT(target_tree, &p->targets, t);
+	TAILQ_INSERT_TAIL(&s->targets, t, in_svc);
+	TAILQ_INSERT_TAIL(&p->all, t, in_all);
+	p->n_targets++;
+	s->n_targets++;
+	if (s->n_targets > s->cap_open) {
+		s->cap_open = s->n_targets * 2;
+		for (k = 0; k < POOLS; k++)
+			s->open[k] = cs_xrealloc(s->open[k], s->cap_open, sizeof(*s->open[k]));
+	}
+	return t;
+}
+
+static void target_free(struct cs_policy *p, struct cs_target *t)
+{
+	unsigned k;
+
+	t->listed = false;
+	capacity_set(t);
+	for (k = 0; k < POOLS; k++)
+		open_set(t, k, false);
+	if (t->ejected)
+		t->svc->n_ejected--;
+	t->svc->n_targets--;
+	p->n_targets--;
+	if (p->cursor == t)
+		p->cursor = NULL;
+	TAILQ_REMOVE(&t->svc->targets, t, in_svc);
+	TAILQ_REMOVE(&p->all, t, in_all);
+	RB_REMOVE(target_tree, &p->targets, t);
+	free(t->flights);
+	free(t);
+}
+
+static void state_set(struct cs_target *t, enum cs_server_state st, uint64_t now_us)
+{
+	if (st == CS_SERVER_READY && (t->state == CS_SERVER_STARTING || t->state == CS_SERVER_DOWN))
+		t->warm_us = now_us;
+	t->state = st;
+}
+
+static void targets_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us)
+{
+	struct cs_target *t, *next;
+	unsigned i;
+
+	TAILQ_FOREACH(t, &p->all, in_all)
+		t->seen = false;
+	for (i = 0; i < v->n_servers; i++) {
+		const struct cs_server *sv = &v->servers[i];
+
+		if (strcmp(sv->zone, p->opts.zone) != 0)
+			continue;
+		t = target_get(p, sv, now_us);
+		t->seen = t->listed = true;
+		cs_copy(t->addr, sizeof(t->addr), sv->addr);
+		t->port = sv->port;
+		t->slots = sv->slots;
+		t->reported_load = (double)sv->reported_in_flight / (sv->slots > 0 ? sv->slots : 1);
+		/* A view that repeats its word does not undo what the server said since. */
+		if (sv->state != t->viewed)
+			state_set(t, sv->state, now_us);
+		t->viewed = sv->state;
+	}
+	TAILQ_FOREACH_SAFE(t, &p->all, in_all, next) {
+		if (t->seen)
+			continue;
+		t->listed = false;
+		if (t->n_flights == 0)
+			target_free(p, t);
+	}
+}
+
+void cs_policy_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us)
+{
+	struct svc *s;
+
+	if (v->cfg != NULL)
+		config_set(p, v->cfg);
+	if (p->cfg == NULL)
+		return;
+	targets_update(p, v, now_us);
+	TAILQ_FOREACH(s, &p->svcs, entry)
+		latency_report(p, s, v);
+	share_update(p, v, now_us);
+	spill_update(p, v, now_us);
+}
+
+const char *cs_target_name(const struct cs_target *t)
+{
+	return t->name;
+}
+
+const char *cs_target_addr(const struct cs_target *t)
+{
+	return t->addr;
+}
+
+uint16_t cs_target_port(const struct cs_target *t)
+{
+	return t->port;
+}
+
+void cs_policy_server_says(struct cs_policy *p, struct cs_target *t, enum cs_server_state st,
+			   uint64_t now_us)
+{
+	if (st != t->state)
+		state_set(t, st, now_us);
+	open_refresh(p, t, now_us);
+}
+
+void cs_policy_ended(struct cs_policy *p, struct cs_target *t, unsigned class_index,
+		     enum cs_outcome outcome, uint64_t latency_us, uint64_t now_us)
+{
+	struct cls *c = policy_class(p, class_index);
+	struct flight f;
+
+	if (!flight_end(p, t, c, latency_us, now_us, &f))
+		return;
+	latency_sample(t, f.cls, outcome, latency_us, now_us);
+	if (outcome == CS_OUTCOME_REFUSED)
+		backoff_start(t, now_us);
+	else if (outcome == CS_OUTCOME_OK || outcome == CS_OUTCOME_ERROR)
+		t->backoff_us = 0;
+	eject_outcome(p, t, outcome, now_us);
+	open_refresh(p, t, now_us);
+	if (!t->listed && t->n_flights == 0)
+		target_free(p, t);
+}
+
+void cs_policy_gap(struct cs_policy *p, uint64_t now_us)
+{
+	struct cs_target *t;
+
+	/* A view that was sent before the gap may still be waiting to be read. */
+	p->gap_until_us = now_us + CS_US_PER_S;
+	TAILQ_FOREACH(t, &p->all, in_all) {
+		t->n_borrows = 0;
+		open_refresh(p, t, now_us);
+	}
+}
--- a/lib/policy/policy.h
+++ b/lib/policy/policy.h
@@ -44,6 +44,20 @@
  */
 uint64_t cs_policy_roster(const struct cs_policy *p);
 
+/*
+ * Roster that a listed instance of the own zone named last on its heartbeats; 0 if unknown. Call it
+ * for each member after cs_policy_update. Without it grown shares wait for the hold time.
+ */
+void cs_policy_peer_roster(struct cs_policy *p, const char *instance, uint64_t roster,
+			   uint64_t now_us);
+/* The process did not run for a while: borrowed slots are given up until a fresh view comes. */
+void cs_policy_gap(struct cs_policy *p, uint64_t now_us);
+/*
+ * Sets the wall clock by which drains are read; it then advances with now_us. Without a call the
+ * system's clock is read.
+ */
+void cs_policy_set_wall(struct cs_policy *p, int64_t wall_ms, uint64_t now_us);
+
 /* A server of this zone; its address is valid until cs_policy_update removes it with no request. */
 struct cs_target;
 const char *cs_target_name(const struct cs_target *t);
@@ -67,7 +81,10 @@
 	unsigned n_tried;
 	/* Owned by the policy while the request waits. */
 	TAILQ_ENTRY(cs_ask) entry;
+	struct cls *queue; /* class whose queue it is in */
+	uint64_t until_us;
 	bool waiting;
+	bool counted; /* in the budgets */
 	void *arg; /* the proxy's request */
 };
 
@@ -163,7 +180,12 @@
 
 /* Part (0..1) of a zone's traffic that stays at a wall-clock time; 1 without a drain. */
 double cs_shift_stay(const struct cs_config *cfg, unsigned zone, int64_t wall_ms);
-/* Wall-clock ms by which the ramp of a drain ends under its cap, started as planned. */
+/*
+ * Part (0..1) of a zone's callers whom lookups still send to it. Lookups follow once the proxies
+ * have moved all requests: two ramps at once would move up to twice the cap in a second.
+ */
+double cs_shift_entry(const struct cs_config *cfg, unsigned zone, int64_t wall_ms);
+/* Wall-clock ms by which both ramps of a drain end under its cap, started as planned. */
 int64_t cs_shift_end_ms(const struct cs_config *cfg, const struct cs_drain *d);
 /*
  * Checks whether a drain can end by its deadline under the cap and whether the rest of the
--- /dev/null
+++ b/lib/policy/queue.c
@@ -0,0 +1,95 @@
+/* Requests that wait for a slot: one list by deadline for each class. */
+#include "policy/internal.h"
+
+#define LOOK_AHEAD 8 /* waiting requests of a class that are tried for an open server */
+
+/* Inserts by deadline; equal timeouts make the tail the usual place. */
+void queue_push(struct cs_policy *p, struct cls *c, struct cs_ask *ask)
+{
+	struct cs_ask *a = TAILQ_LAST(&c->queue, ask_list);
+
+	while (a != NULL && a->deadline_us > ask->deadline_us)
+		a = TAILQ_PREV(a, ask_list, entry);
+	if (a != NULL)
+		TAILQ_INSERT_AFTER(&c->queue, a, ask, entry);
+	else
+		TAILQ_INSERT_HEAD(&c->queue, ask, entry);
+	ask->waiting = true;
+	ask->queue = c;
+	c->n_queue++;
+	c->svc->waiting[c->pool]++;
+	p->n_waiting++;
+}
+
+static void take_out(struct cs_policy *p, struct cls *c, struct cs_ask *ask)
+{
+	TAILQ_REMOVE(&c->queue, ask, entry);
+	ask->waiting = false;
+	c->n_queue--;
+	c->svc->waiting[c->pool]--;
+	p->n_waiting--;
+}
+
+uint64_t queue_wait_us(const struct cs_policy *p, const struct cls *c)
+{
+	const struct cls *o;
+	unsigned ahead = 0, slots = c->svc->capacity[c->pool];
+	double each = c->svc->service_us[c->pool];
+
+	TAILQ_FOREACH(o, &p->classes, entry)
+		if (o->svc == c->svc && o->pool == c->pool && o->conf.priority <= c->conf.priority)
+			ahead += o->n_queue;
+	if (slots == 0)
+		return 0;
+	return (uint64_t)((ahead + 1) * each / slots);
+}
+
+static bool can_go(struct cs_policy *p, struct cls *c, const struct cs_ask *ask, uint64_t now_us)
+{
+	unsigned i;
+
+	if (now_us >= ask->until_us)
+		return true;
+	for (i = 0; i < c->svc->n_open[c->pool]; i++) {
+		struct cs_target *t = c->svc->open[c->pool][i];
+
+		if (!choice_tried(ask, t) &&
+		    share_has_room(p, t, c->pool, ask->deadline_us, now_us))
+			return true;
+	}
+	return false;
+}
+
+struct cs_ask *cs_policy_next(struct cs_policy *p, uint64_t now_us)
+{
+	struct cs_ask *ask, *found = NULL;
+	struct cls *c, *from = NULL;
+	unsigned looked;
+
+	if (p->n_waiting == 0)
+		return NULL;
+	policy_tick(p, now_us);
+	TAILQ_FOREACH(c, &p->classes, entry) {
+		if (found != NULL && from->conf.priority <= c->conf.priority)
+			continue;
+		looked = 0;
+		TAILQ_FOREACH(ask, &c->queue, entry) {
+			if (looked++ == LOOK_AHEAD)
+				break;
+			if (c->index < 0 || can_go(p, c, ask, now_us)) {
+				found = ask;
+				from = c;
+				break;
+			}
+		}
+	}
+	if (found != NULL)
+		take_out(p, from, found);
+	return found;
+}
+
+void cs_policy_forget(struct cs_policy *p, struct cs_ask *ask)
+{
+	if (ask->waiting)
+		take_out(p, ask->queue, ask);
+}
