Forward requests end to end in cassia-proxyd

The daemon takes requests with libmicrohttpd and sends them with libcurl's multi interface; bodies and answers stream through buffers of 64 KB.

--- /dev/null
+++ b/src/proxyd/dedup.c
@@ -0,0 +1,132 @@
+/* Repeats of a request id: join the running request, or get its outcome. */
+#include <string.h>
+
+#include "src/proxyd/proxyd.h"
+
+/* Hash of what is asked, so that an id used for another request is noticed. */
+static uint64_t fingerprint(const struct request *req)
+{
+	uint64_t h = cs_hash_str(req->method, 1);
+
+	h = cs_hash_str(req->target, h);
+	if (!req->streaming && req->body.in > 0)
+		return cs_hash(req->body.data, (size_t)req->body.in, h);
+	return h ^ req->content_length;
+}
+
+bool dedup_begin(struct request *req)
+{
+	struct proxyd *p = req->proxyd;
+	uint64_t now = cs_mono_us(), print;
+	struct outcome *o;
+
+	/* Nobody can know a generated id before the answer names it. */
+	if (req->idempotent || !req->id_given || cs_fault("attempts"))
+		return true;
+	print = fingerprint(req);
+	o = outcomes_find(p->outcomes, req->class_name, req->id, now);
+	if (o == NULL) {
+		req->outcome = outcomes_begin(p->outcomes, req->class_name, req->id, print, now);
+		if (req->outcome == NULL)
+			request_refuse(req, CS_REFUSAL_OVERLOAD, CS_US_PER_MS);
+		return req->outcome != NULL;
+	}
+	if (o->print != print) {
+		request_error(req, 409, "request_id_reused", RAN_NO,
+			      "the id was used for another request within 60 s");
+		return false;
+	}
+	(*p->stats.joined)++;
+	if (o->kind == OUTCOME_RUNNING) {
+		req->stage = STAGE_JOINED;
+		req->join.arg = o;
+		TAILQ_INSERT_TAIL(&o->joins, &req->join, entry);
+		return false;
+	}
+	req->stage = STAGE_ANSWER;
+	req->result = RESULT_OK;
+	cs_timer_stop(&req->deadline);
+	reply_outcome(req, o);
+	server_resume(req);
+	return false;
+}
+
+static struct request *join_request(struct outcome_join *j)
+{
+	return (struct request *)(void *)((char *)j - offsetof(struct request, join));
+}
+
+/* Gives the outcome to all who joined. */
+static void tell_joins(struct outcome *o)
+{
+	struct outcome_join *j;
+	struct request *req;
+
+	while ((j = TAILQ_FIRST(&o->joins)) != NULL) {
+		TAILQ_REMOVE(&o->joins, j, entry);
+		j->arg = NULL;
+		req = join_request(j);
+		req->stage = STAGE_ANSWER;
+		req->result = o->kind == OUTCOME_UNKNOWN ? RESULT_FAILED : RESULT_OK;
+		cs_timer_stop(&req->deadline);
+		reply_outcome(req, o);
+		server_resume(req);
+	}
+}
+
+/* The first request did not run: the repeats are requests of their own now. */
+static void rerun_joins(struct proxyd *p, struct outcome *o)
+{
+	struct outcome_joins joins = TAILQ_HEAD_INITIALIZER(joins);
+	struct outcome_join *j;
+	struct request *req;
+
+	TAILQ_CONCAT(&joins, &o->joins, entry);
+	outcomes_forget(p->outcomes, o);
+	while ((j = TAILQ_FIRST(&joins)) != NULL) {
+		TAILQ_REMOVE(&joins, j, entry);
+		j->arg = NULL;
+		req = join_request(j);
+		req->stage = STAGE_BODY;
+		if (dedup_begin(req))
+			request_decide(req);
+	}
+}
+
+void dedup_end(struct request *req, enum ran ran)
+{
+	struct proxyd *p = req->proxyd;
+	struct outcome *o = req->outcome;
+	const struct attempt *att = req->winner;
+	uint64_t now = cs_mono_us();
+
+	if (o == NULL)
+		return;
+	req->outcome = NULL;
+	switch (ran) {
+	case RAN_NO:
+		rerun_joins(p, o);
+		return;
+	case RAN_UNKNOWN:
+		outcomes_lost(p->outcomes, o, now);
+		break;
+	case RAN_YES:
+		if (att != NULL && att->whole && ring_whole(&att->data))
+			outcomes_answered(p->outcomes, o, att->status, &att->head, att->data.data,
+					  (size_t)att->data.in, now);
+		else
+			outcomes_answered(p->outcomes, o, req->status, NULL, NULL, 0, now);
+		break;
+	}
+	tell_joins(o);
+}
+
+void dedup_leave(struct request *req)
+{
+	struct outcome *o = req->join.arg;
+
+	if (o == NULL)
+		return;
+	TAILQ_REMOVE(&o->joins, &req->join, entry);
+	req->join.arg = NULL;
+}
--- /dev/null
+++ b/src/proxyd/main.c
@@ -0,0 +1,210 @@
+/* cassia-proxyd: takes callers' requests and forwards them to backend servers. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/proxyd/proxyd.h"
+
+#define LANE_CONNECTIONS_MAX 2048L
+
+static struct cs_setting settings[] = {
+	{.name = "instance", .kind = CS_SET_STRING, .unit = "", .help = "Name of this instance"},
+	{.name = "zone", .kind = CS_SET_STRING, .unit = "", .help = "Availability zone"},
+	{.name = "address",
+	 .kind = CS_SET_STRING,
+	 .def = "127.0.0.1",
+	 .unit = "",
+	 .help = "IPv4 address to listen on and to connect from"},
+	{.name = "port",
+	 .kind = CS_SET_INT,
+	 .def = "8080",
+	 .max = 65535,
+	 .unit = "",
+	 .help = "HTTP port; 0 takes a free one"},
+	{.name = "agent",
+	 .kind = CS_SET_STRING,
+	 .def = "tcp://127.0.0.1:7003",
+	 .unit = "",
+	 .help = "Local endpoint of the instance's agent"},
+	{.name = "choice",
+	 .kind = CS_SET_CHOICE,
+	 .def = "least",
+	 .choices = CS_CHOICE_NAMES,
+	 .unit = "",
+	 .help = "Choice of server: "},
+	{.name = "backoff",
+	 .kind = CS_SET_CHOICE,
+	 .def = "wait",
+	 .choices = CS_BACKOFF_NAMES,
+	 .unit = "",
+	 .help = "When every server is in back-off: "},
+	{.name = "log-level",
+	 .kind = CS_SET_CHOICE,
+	 .def = "notice",
+	 .choices = "err|warning|notice|info|debug",
+	 .unit = "",
+	 .help = "Highest level that is logged: "},
+	{.name = "check",
+	 .kind = CS_SET_BOOL,
+	 .def = "no",
+	 .unit = "",
+	 .help = "Check the settings and exit"},
+	{0},
+};
+
+static void on_before(struct ev_loop *loop, ev_prepare *w, int events);
+
+/* Names travel in messages and headers: 1 to 47 of [A-Za-z0-9._-]. */
+static bool check_name(const char *setting, const char *value, struct cs_msg *msg)
+{
+	if (strlen(value) < CS_NAME_MAX && check_request_id(value))
+		return true;
+	cs_msg_set(msg, "%s: value '%s' is not allowed; use 1 to %d of A-Z a-z 0-9 . _ -", setting,
+		   value, CS_NAME_MAX - 1);
+	return false;
+}
+
+static bool check_settings(struct proxyd *p, struct cs_msg *msg)
+{
+	uint8_t addr[16];
+
+	p->settings = settings;
+	p->instance = cs_setting_text(settings, "instance");
+	p->zone = cs_setting_text(settings, "zone");
+	p->address = cs_setting_text(settings, "address");
+	p->port = (uint16_t)cs_setting_int(settings, "port");
+	p->bind_source = strcmp(p->address, "127.0.0.1") != 0 && strcmp(p->address, "0.0.0.0") != 0;
+	if (!check_name("--instance", p->instance, msg) || !check_name("--zone", p->zone, msg))
+		return false;
+	if (!cs_addr_parse(p->address, addr) || strchr(p->address, ':') != NULL) {
+		cs_msg_set(msg, "--address: value '%s' is not allowed; use an IPv4 address",
+			   p->address);
+		return false;
+	}
+	return true;
+}
+
+/* Creates what needs no outside system. */
+static void parts_create(struct proxyd *p)
+{
+	struct cs_policy_opts opts = {0};
+	unsigned i;
+
+	p->loop = ev_default_loop(EVFLAG_AUTO);
+	p->timers = cs_timers_create(p->loop);
+	TAILQ_INIT(&p->requests);
+	TAILQ_INIT(&p->work);
+	TAILQ_INIT(&p->pool);
+	LIST_INIT(&p->conns);
+	cs_copy(opts.instance, sizeof(opts.instance), p->instance);
+	cs_copy(opts.zone, sizeof(opts.zone), p->zone);
+	opts.choice = (enum cs_choice)cs_setting_int(settings, "choice");
+	opts.backoff = (enum cs_backoff_mode)cs_setting_int(settings, "backoff");
+	opts.seed = cs_random_u64();
+	p->policy = cs_policy_create(&opts);
+	p->outcomes = outcomes_create(OUTCOME_ENTRIES_MAX, OUTCOME_BYTES_MAX, OUTCOME_KEEP_US);
+	stats_init(&p->stats);
+	for (i = 0; i < LANE_MAX; i++) {
+		p->lanes[i] = cs_curl_create(p->loop, p->timers);
+		curl_multi_setopt(cs_curl_multi(p->lanes[i]), CURLMOPT_MAXCONNECTS,
+				  LANE_CONNECTIONS_MAX);
+	}
+	/* Runs before MHD's own watcher, so that answers go out in the same turn. */
+	ev_prepare_init(&p->before, on_before);
+	ev_set_priority(&p->before, EV_MAXPRI);
+	p->before.data = p;
+	ev_prepare_start(p->loop, &p->before);
+	stop_watch(p);
+}
+
+static void parts_destroy(struct proxyd *p)
+{
+	unsigned i;
+
+	server_stop(p);
+	if (p->link != NULL)
+		view_stop(p);
+	attempts_free(p);
+	for (i = 0; i < LANE_MAX; i++)
+		cs_curl_destroy(p->lanes[i]);
+	ev_prepare_stop(p->loop, &p->before);
+	outcomes_destroy(p->outcomes);
+	cs_policy_destroy(p->policy);
+	stats_free(&p->stats);
+	cs_timers_destroy(p->timers);
+	ev_loop_destroy(p->loop);
+}
+
+/* News from libcurl's callbacks, then waiting requests that can go on now. */
+static void on_before(struct ev_loop *loop, ev_prepare *w, int events)
+{
+	struct proxyd *p = w->data;
+	struct request *req;
+	struct cs_ask *ask;
+
+	while ((req = TAILQ_FIRST(&p->work)) != NULL) {
+		TAILQ_REMOVE(&p->work, req, work_entry);
+		req->work = false;
+		request_progress(req);
+	}
+	if (!p->pump)
+		return;
+	p->pump = false;
+	while ((ask = cs_policy_next(p->policy, cs_mono_us())) != NULL)
+		request_decide(ask->arg);
+}
+
+int main(int argc, char **argv)
+{
+	struct proxyd p = {0};
+	struct cs_msg msg;
+	int rc = 1;
+
+	switch (cs_settings_load(settings, "Forwards requests to backend servers.", &argc, &argv,
+				 &msg)) {
+	case CS_SETTINGS_EXIT:
+		cs_settings_free(settings);
+		return 0;
+	case CS_SETTINGS_BAD:
+		goto bad;
+	case CS_SETTINGS_OK:
+		break;
+	}
+	cs_log_open("cassia-proxyd",
+		    (enum cs_level)cs_log_level_parse(cs_setting_text(settings, "log-level")));
+	if (argc > 1) {
+		cs_msg_set(&msg, "argument '%s' is not allowed; --help lists the settings",
+			   argv[1]);
+		goto bad;
+	}
+	if (!check_settings(&p, &msg))
+		goto bad;
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_NOTHING);
+	parts_create(&p);
+	if (!view_start(&p, cs_setting_text(settings, "agent"), &msg))
+		goto out;
+	if (cs_setting_int(settings, "check")) {
+		rc = 0;
+		goto out;
+	}
+	if (!server_start(&p, &msg))
+		goto out;
+	cs_log(CS_NOTICE, "main", "Listening. address=%s port=%u instance=%s zone=%s", p.address,
+	       p.port, p.instance, p.zone);
+	ev_run(p.loop, 0);
+	cs_log(CS_NOTICE, "main", "Stopped. connections=%u", p.n_conns);
+	rc = 0;
+out:
+	if (rc != 0)
+		fprintf(stderr, "cassia-proxyd: %s\n", msg.text);
+	parts_destroy(&p);
+	curl_global_cleanup();
+	cs_settings_free(settings);
+	return rc;
+bad:
+	fprintf(stderr, "cassia-proxyd: %s\n", msg.text);
+	cs_settings_free(settings);
+	return 2;
+}
--- /dev/null
+++ b/src/proxyd/proxyd.h
@@ -0,0 +1,267 @@
+/*
+ * proxyd: state shared by the parts of cassia-proxyd. server.c takes callers' requests from
+ * libmicrohttpd, request.c leads each through its stages, attempt.c runs transfers to servers and
+ * to other proxies with libcurl, reply.c builds answers.
+ */
+#ifndef PROXYD_PROXYD_H
+#define PROXYD_PROXYD_H
+
+#include "base/base.h"
+#include "http/http.h"
+#include "link/link.h"
+#include "policy/policy.h"
+#include "src/proxyd/head.h"
+#include "src/proxyd/outcome.h"
+#include "src/proxyd/ring.h"
+#include "src/proxyd/stats.h"
+
+/* Bodies and answers of at most this size are held whole; larger ones stream through it. */
+#define BUFFER_MAX (64 * 1024)
+/* Header lines of one request in bytes; more gets 431. */
+#define HEAD_MAX (16 * 1024)
+/* Longest time without a byte of an unfinished body. */
+#define BODY_IDLE_US (5 * CS_US_PER_S)
+
+/* What can be said about whether a server ran the request. */
+enum ran { RAN_NO, RAN_UNKNOWN, RAN_YES };
+const char *ran_name(enum ran ran);
+
+/* State of one attempt, in the order in which it can change. */
+enum attempt_state {
+	ATTEMPT_NOT_SENT, /* no byte of the request left */
+	ATTEMPT_SENT,
+	ATTEMPT_ANSWERED, /* head of an answer is in */
+	ATTEMPT_REFUSED, /* answered that it did not run */
+	ATTEMPT_LOST /* sent, and no whole answer will come */
+};
+
+enum attempt_kind { ATTEMPT_SERVER, ATTEMPT_HOP };
+
+/* How the server marks the end of its answer. */
+enum framing { FRAMING_LENGTH, FRAMING_CHUNKED, FRAMING_CLOSE };
+
+struct proxyd;
+struct request;
+
+/* One transfer to a backend server or to another zone's proxy. */
+struct attempt {
+	TAILQ_ENTRY(attempt) entry; /* of the request, or of the pool */
+	struct request *req;
+	struct cs_curl *curl;
+	CURL *easy;
+	enum attempt_kind kind;
+	enum attempt_state state;
+	struct cs_target *target; /* ATTEMPT_SERVER */
+	char name[CS_NAME_MAX]; /* of the server or instance */
+	char zone[CS_NAME_MAX]; /* ATTEMPT_HOP */
+	uint64_t started_us;
+	bool running; /* libcurl has it */
+	bool ended; /* the policy was told */
+	bool hedge;
+	bool send_paused, recv_paused;
+	/* Request lines that differ between attempts. */
+	struct curl_slist lines[3];
+	char deadline_line[48];
+	/* Answer. */
+	unsigned status;
+	bool head_done;
+	bool no_body;
+	bool refused; /* the answer says that it did not run */
+	bool whole; /* ended, all of it is in */
+	bool failed; /* ended before its end */
+	enum framing framing;
+	uint64_t length; /* FRAMING_LENGTH */
+	struct head head;
+	struct ring data;
+};
+
+enum stage {
+	STAGE_BODY, /* collecting a small body */
+	STAGE_JOINED, /* waits for the first request with this id */
+	STAGE_WAITING, /* in the policy's queue */
+	STAGE_RUNNING, /* attempts are out */
+	STAGE_ANSWER /* the answer is fixed */
+};
+
+/* One connection of a caller. */
+struct conn {
+	LIST_ENTRY(conn) entry;
+	struct proxyd *proxyd;
+	struct MHD_Connection *mhd;
+	struct request *req;
+	int fd;
+};
+
+/* One request of a caller; lives from its first line to the end of its answer. */
+struct request {
+	TAILQ_ENTRY(request) entry;
+	TAILQ_ENTRY(request) work_entry;
+	struct proxyd *proxyd;
+	struct conn *conn;
+	struct MHD_Connection *mhd;
+	enum stage stage;
+	bool started; /* headers were checked */
+	bool admin;
+	bool suspended; /* MHD does not read or write the connection */
+	bool in_handler;
+	bool gone; /* the caller's connection ended */
+	bool work; /* in the work list */
+	bool close; /* close the caller's connection after the answer */
+
+	char *target; /* as received */
+	char method[20];
+	char id[REQUEST_ID_MAX + 1];
+	char class_name[CS_NAME_MAX];
+	bool id_given;
+	bool class_gone; /* removed from the configuration */
+	struct class_stats *stats;
+	bool idempotent, bulk;
+	unsigned deadline_ms; /* from the header; 0 if absent */
+	struct cs_ask ask;
+	uint64_t target_us; /* latency target */
+
+	/* Request header lines for libcurl, in one block. */
+	struct curl_slist *lines;
+	bool has_content_type, has_accept;
+
+	/* Body. */
+	bool has_body, body_ended, chunked, streaming, discard;
+	uint64_t content_length, max_body;
+	struct ring body;
+
+	/* Attempts. */
+	TAILQ_HEAD(, attempt) attempts;
+	struct attempt *winner; /* its answer goes to the caller */
+	unsigned tries;
+	enum ran ran; /* of ended attempts: strongest that can not be excluded */
+	struct cs_timer deadline, aux, idle; /* aux: end of waiting, or hedge */
+
+	/* Outcome table. */
+	struct outcome *outcome; /* this request runs it */
+	struct outcome_join join;
+
+	/* Answer. */
+	struct MHD_Response *reply;
+	unsigned status;
+	enum result { RESULT_NONE, RESULT_OK, RESULT_REFUSED, RESULT_FAILED, RESULT_BAD } result;
+};
+
+enum stop_stage {
+	STOP_NO,
+	STOP_ANNOUNCED, /* not ready, serves on until lookups have stopped naming it */
+	STOP_REFUSING, /* new work is refused */
+	STOP_DONE
+};
+
+/* Transfers are kept apart so that bulk and small requests never share a connection. */
+enum lane { LANE_SMALL, LANE_BULK, LANE_HOP_SMALL, LANE_HOP_BULK, LANE_MAX };
+
+struct proxyd {
+	struct ev_loop *loop;
+	struct cs_timers *timers;
+	struct cs_setting *settings;
+	const char *instance, *zone, *address;
+	bool bind_source; /* outgoing connections need the source address */
+	uint16_t port;
+	struct cs_policy *policy;
+	struct cs_link *link;
+	struct cs_curl *lanes[LANE_MAX];
+	struct MHD_Daemon *daemon;
+	struct cs_mhd *mhd;
+	struct hangup *hangup;
+	struct outcomes *outcomes;
+	struct stats stats;
+	TAILQ_HEAD(, request) requests;
+	TAILQ_HEAD(, request) work;
+	TAILQ_HEAD(, attempt) pool;
+	LIST_HEAD(, conn) conns;
+	unsigned n_pool, n_conns, n_requests;
+	bool pump; /* waiting requests may go on */
+	ev_prepare before;
+	ev_signal term, intr;
+	enum stop_stage stop;
+	struct cs_timer stop_timer;
+	struct cs_report_load *report_loads;
+};
+
+/* server.c */
+bool server_start(struct proxyd *p, struct cs_msg *msg);
+void server_stop(struct proxyd *p);
+/* Lets the caller's connection go on after it was suspended. */
+void server_resume(struct request *req);
+void server_suspend(struct request *req);
+
+/* intake.c: checks of a new request. Sets an error reply, or fills the request. */
+void intake_check(struct request *req);
+
+/* request.c */
+struct request *request_create(struct proxyd *p, const char *target);
+void request_destroy(struct request *req);
+/* Headers are accepted: starts collecting the body or decides. */
+void request_start(struct request *req);
+/* Takes body bytes; returns how many. */
+size_t request_body(struct request *req, const char *data, size_t size);
+void request_body_end(struct request *req);
+/* The caller's connection ended before the answer was complete. */
+void request_gone(struct request *req);
+/* An attempt has news; called outside of libcurl's callbacks. */
+void request_progress(struct request *req);
+void request_work(struct request *req);
+/* Asks the policy and acts on the answer. */
+void request_decide(struct request *req);
+/* Ends the request with an error of the system's own. */
+void request_error(struct request *req, unsigned status, const char *error, enum ran ran,
+		   const char *message);
+void request_refuse(struct request *req, enum cs_refusal reason, unsigned retry_after_ms);
+/* What can be said now about whether the request ran. */
+enum ran request_ran(const struct request *req);
+
+/* attempt.c */
+struct attempt *attempt_start(struct request *req, struct cs_target *target);
+struct attempt *attempt_hop(struct request *req, const struct cs_decision *d);
+/* Ends an attempt, running or not, and tells the policy. */
+void attempt_end(struct attempt *att, enum cs_outcome outcome);
+/* Gives an ended attempt back to the pool. */
+void attempt_free(struct attempt *att);
+/* More body bytes are in. */
+void attempt_body_ready(struct attempt *att);
+/* The caller took bytes of the answer. */
+void attempt_answer_taken(struct attempt *att);
+void attempts_free(struct proxyd *p);
+
+/* reply.c */
+void reply_error(struct request *req, unsigned status, const char *error, enum ran ran,
+		 const char *message, unsigned retry_after_s);
+/* Fixes the winner's answer as the reply: whole if it ended, else streamed. */
+void reply_attempt(struct request *req);
+void reply_outcome(struct request *req, const struct outcome *o);
+void reply_text(struct request *req, unsigned status, const char *type, char *body);
+/* Queues the reply on the caller's connection. */
+enum MHD_Result reply_send(struct request *req);
+
+/* outcomes at this instance: dedup.c */
+/* True if the request may run; else it joined or its reply is set. */
+bool dedup_begin(struct request *req);
+/* The answer or error is fixed; ran tells what is known. */
+void dedup_end(struct request *req, enum ran ran);
+void dedup_leave(struct request *req);
+
+/* admin.c */
+void admin_handle(struct request *req);
+
+/* view.c: link and view */
+bool view_start(struct proxyd *p, const char *endpoint, struct cs_msg *msg);
+void view_stop(struct proxyd *p);
+
+/* stop.c */
+void stop_watch(struct proxyd *p);
+/* Checks whether a planned stop is complete; called when a request ends. */
+void stop_check(struct proxyd *p);
+
+/* hangup.c: finds out that a caller left while MHD does not watch its connection. */
+struct hangup *hangup_create(struct ev_loop *loop);
+void hangup_destroy(struct hangup *h);
+void hangup_add(struct hangup *h, struct conn *c);
+void hangup_remove(struct hangup *h, struct conn *c);
+
+#endif
--- /dev/null
+++ b/src/proxyd/request.c
@@ -0,0 +1,512 @@
+/* Life of one request: body, decision, attempts, answer. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/proxyd/proxyd.h"
+
+static void on_deadline(struct cs_timer *t, void *arg);
+static void on_aux(struct cs_timer *t, void *arg);
+static void on_idle(struct cs_timer *t, void *arg);
+
+struct request *request_create(struct proxyd *p, const char *target)
+{
+	struct request *req = cs_xcalloc(1, sizeof(*req));
+
+	req->proxyd = p;
+	req->target = cs_xstrdup(target);
+	req->ask.arg = req;
+	TAILQ_INIT(&req->attempts);
+	ring_init(&req->body, BUFFER_MAX);
+	cs_timer_init(&req->deadline, on_deadline, req);
+	cs_timer_init(&req->aux, on_aux, req);
+	cs_timer_init(&req->idle, on_idle, req);
+	TAILQ_INSERT_TAIL(&p->requests, req, entry);
+	p->n_requests++;
+	return req;
+}
+
+/* Adds the end of the request to its class's counters. */
+static void count_end(struct request *req)
+{
+	struct class_stats *s = req->stats;
+	uint64_t took = cs_mono_us() - req->ask.arrived_us;
+
+	if (s == NULL)
+		return;
+	switch (req->result) {
+	case RESULT_OK:
+		if (req->gone && req->winner != NULL && !req->winner->failed) {
+			(*s->cancelled)++;
+			break;
+		}
+		if (req->status >= 500 || req->gone) {
+			(*s->failed)++;
+			break;
+		}
+		(*s->ok)++;
+		if (took <= req->target_us)
+			(*s->in_target)++;
+		cs_hist_add(s->latency, took);
+		break;
+	case RESULT_FAILED:
+		(*s->failed)++;
+		break;
+	case RESULT_BAD:
+		(*s->bad)++;
+		break;
+	case RESULT_NONE:
+		(*s->cancelled)++;
+		break;
+	case RESULT_REFUSED:
+		break;
+	}
+}
+
+static void stop_timers(struct request *req)
+{
+	cs_timer_stop(&req->deadline);
+	cs_timer_stop(&req->aux);
+	cs_timer_stop(&req->idle);
+}
+
+/* Ends every attempt but one; the policy gets the slots back. */
+static void end_attempts(struct request *req, const struct attempt *keep, enum cs_outcome outcome)
+{
+	struct attempt *att;
+
+	TAILQ_FOREACH(att, &req->attempts, entry)
+		if (att != keep)
+			attempt_end(att, outcome);
+}
+
+void request_destroy(struct request *req)
+{
+	struct proxyd *p = req->proxyd;
+	enum ran ran = request_ran(req);
+	struct attempt *att;
+
+	count_end(req);
+	stop_timers(req);
+	cs_policy_forget(p->policy, &req->ask);
+	end_attempts(req, NULL, CS_OUTCOME_CANCELLED);
+	dedup_end(req, ran);
+	dedup_leave(req);
+	while ((att = TAILQ_FIRST(&req->attempts)) != NULL)
+		attempt_free(att);
+	if (req->work)
+		TAILQ_REMOVE(&p->work, req, work_entry);
+	TAILQ_REMOVE(&p->requests, req, entry);
+	p->n_requests--;
+	if (req->reply != NULL)
+		MHD_destroy_response(req->reply);
+	ring_free(&req->body);
+	free(req->lines);
+	free(req->target);
+	free(req);
+	stop_check(p);
+}
+
+enum ran request_ran(const struct request *req)
+{
+	const struct attempt *att;
+	enum ran ran = req->ran;
+
+	if (req->winner != NULL)
+		return RAN_YES;
+	TAILQ_FOREACH(att, &req->attempts, entry)
+		if (att->state != ATTEMPT_NOT_SENT && att->state != ATTEMPT_REFUSED &&
+		    ran == RAN_NO)
+			ran = RAN_UNKNOWN;
+	return ran;
+}
+
+/* Decides, after the table of outcomes let the request pass. */
+static void request_run(struct request *req)
+{
+	if (dedup_begin(req))
+		request_decide(req);
+}
+
+void request_start(struct request *req)
+{
+	struct proxyd *p = req->proxyd;
+
+	req->stage = STAGE_BODY;
+	if (p->stop == STOP_REFUSING) {
+		request_refuse(req, CS_REFUSAL_LEAVING, CS_US_PER_MS);
+		return;
+	}
+	cs_timer_start(p->timers, &req->deadline, req->ask.deadline_us - req->ask.arrived_us);
+	if (!req->has_body)
+		return;
+	cs_timer_start(p->timers, &req->idle, BODY_IDLE_US);
+	if (req->chunked)
+		return;
+	if (req->content_length <= BUFFER_MAX) {
+		ring_reserve(&req->body, (size_t)req->content_length);
+		return;
+	}
+	req->streaming = true;
+	request_run(req);
+}
+
+/* True while body bytes are of use to an attempt that is out or to come. */
+static bool body_wanted(const struct request *req)
+{
+	const struct attempt *att;
+
+	if (req->discard)
+		return false;
+	if (req->stage != STAGE_ANSWER)
+		return true;
+	att = req->winner;
+	return att != NULL && att->running;
+}
+
+size_t request_body(struct request *req, const char *data, size_t size)
+{
+	struct proxyd *p = req->proxyd;
+	struct attempt *att;
+	size_t n;
+
+	if (!body_wanted(req)) {
+		req->discard = true;
+		return size;
+	}
+	if (req->body.in + size > req->max_body) {
+		request_error(req, 413, "too_large", request_ran(req),
+			      "the body is over the class's limit");
+		req->discard = true;
+		return size;
+	}
+	n = ring_put(&req->body, data, size);
+	*req->stats->body_in += n;
+	if (n > 0)
+		cs_timer_start(p->timers, &req->idle, BODY_IDLE_US);
+	else
+		cs_timer_stop(&req->idle);
+	if (n < size && !req->streaming) {
+		req->streaming = true;
+		request_run(req);
+	}
+	if (req->streaming)
+		TAILQ_FOREACH(att, &req->attempts, entry)
+			attempt_body_ready(att);
+	return n;
+}
+
+void request_body_end(struct request *req)
+{
+	struct attempt *att;
+
+	req->body_ended = true;
+	cs_timer_stop(&req->idle);
+	if (req->streaming) {
+		TAILQ_FOREACH(att, &req->attempts, entry)
+			attempt_body_ready(att);
+		return;
+	}
+	if (req->stage == STAGE_BODY)
+		request_run(req);
+}
+
+/* Starts the timer of a hedge, if this request may have one. */
+static void plan_hedge(struct request *req)
+{
+	struct proxyd *p = req->proxyd;
+	uint64_t delay;
+
+	if (!req->idempotent || req->streaming || req->tries > 1)
+		return;
+	delay = cs_policy_hedge_delay(p->policy, req->ask.class_index);
+	if (delay > 0)
+		cs_timer_start(p->timers, &req->aux, delay);
+}
+
+static void take_target(struct request *req, struct cs_target *t)
+{
+	struct cs_ask *ask = &req->ask;
+
+	if (ask->n_tried < CS_TRIED_MAX)
+		ask->tried[ask->n_tried++] = t;
+}
+
+void request_decide(struct request *req)
+{
+	struct proxyd *p = req->proxyd;
+	uint64_t now = cs_mono_us();
+	struct cs_decision d;
+
+	cs_policy_decide(p->policy, &req->ask, now, &d);
+	switch (d.verdict) {
+	case CS_VERDICT_SEND:
+		req->stage = STAGE_RUNNING;
+		req->tries++;
+		take_target(req, d.u.send.target);
+		attempt_start(req, d.u.send.target);
+		plan_hedge(req);
+		break;
+	case CS_VERDICT_HOP:
+		req->stage = STAGE_RUNNING;
+		req->tries++;
+		(*req->stats->hops)++;
+		attempt_hop(req, &d);
+		break;
+	case CS_VERDICT_WAIT:
+		req->stage = STAGE_WAITING;
+		cs_timer_start(p->timers, &req->aux,
+			       d.u.wait.until_us > now ? d.u.wait.until_us - now : 0);
+		break;
+	case CS_VERDICT_REFUSE:
+		request_refuse(req, d.u.refuse.reason, d.u.refuse.retry_after_ms);
+		break;
+	}
+}
+
+/* Fixes the answer: nothing else happens to the request but sending it. */
+static void enter_answer(struct request *req)
+{
+	cs_policy_forget(req->proxyd->policy, &req->ask);
+	cs_timer_stop(&req->aux);
+	cs_timer_stop(&req->idle);
+	req->stage = STAGE_ANSWER;
+}
+
+void request_error(struct request *req, unsigned status, const char *error, enum ran ran,
+		   const char *message)
+{
+	if (req->stage == STAGE_ANSWER)
+		return;
+	enter_answer(req);
+	cs_timer_stop(&req->deadline);
+	end_attempts(req, NULL, CS_OUTCOME_CANCELLED);
+	req->result = status >= 500 ? RESULT_FAILED : RESULT_BAD;
+	reply_error(req, status, error, ran, message, 0);
+	dedup_end(req, ran);
+	server_resume(req);
+}
+
+void request_refuse(struct request *req, enum cs_refusal reason, unsigned retry_after_ms)
+{
+	enum ran ran = cs_fault("attempts") ? RAN_NO : request_ran(req);
+	char message[96];
+
+	if (req->stage == STAGE_ANSWER)
+		return;
+	if (ran != RAN_NO) {
+		request_error(req, 502, "lost", ran, "an earlier attempt was lost after sending");
+		return;
+	}
+	enter_answer(req);
+	cs_timer_stop(&req->deadline);
+	if (req->stats != NULL)
+		(*req->stats->refused[reason])++;
+	req->result = RESULT_REFUSED;
+	snprintf(message, sizeof(message), "refused before running: %s", cs_refusal_name(reason));
+	reply_error(req, 503, cs_refusal_name(reason), RAN_NO, message,
+		    (retry_after_ms + 999) / 1000);
+	dedup_end(req, RAN_NO);
+	server_resume(req);
+}
+
+void request_gone(struct request *req)
+{
+	enum ran ran = request_ran(req);
+
+	if (req->gone)
+		return;
+	req->gone = true;
+	stop_timers(req);
+	cs_policy_forget(req->proxyd->policy, &req->ask);
+	end_attempts(req, NULL, CS_OUTCOME_CANCELLED);
+	dedup_end(req, ran);
+	dedup_leave(req);
+	server_resume(req);
+}
+
+/* Makes an attempt's answer the request's answer. */
+static void request_win(struct request *req, struct attempt *att)
+{
+	enter_answer(req);
+	req->winner = att;
+	end_attempts(req, att, CS_OUTCOME_CANCELLED);
+	if (att->whole) {
+		cs_timer_stop(&req->deadline);
+		attempt_end(att, att->status >= 500 ? CS_OUTCOME_ERROR : CS_OUTCOME_OK);
+	}
+	req->result = RESULT_OK;
+	req->status = att->status;
+	reply_attempt(req);
+	dedup_end(req, RAN_YES);
+	server_resume(req);
+}
+
+/* True if another attempt may be made after the last one ended in this state. */
+static bool may_retry(struct request *req, const struct attempt *att)
+{
+	bool not_run = att->state == ATTEMPT_NOT_SENT || att->state == ATTEMPT_REFUSED;
+
+	if (!not_run && !req->idempotent && !cs_fault("attempts"))
+		return false;
+	if (req->tries >= CS_TRIED_MAX || cs_mono_us() >= req->ask.deadline_us)
+		return false;
+	if (req->streaming && !ring_rewind(&req->body))
+		return false;
+	/* A refused hop is decided anew at home; it is no retry at a server. */
+	if (att->kind == ATTEMPT_HOP && not_run)
+		return true;
+	return cs_policy_take_retry(req->proxyd->policy, req->ask.class_index);
+}
+
+/* An attempt ended without an answer for the caller. */
+static void attempt_failed(struct request *req, struct attempt *att)
+{
+	enum cs_outcome outcome = CS_OUTCOME_ERROR;
+	bool retry, hop = att->kind == ATTEMPT_HOP, others = false;
+	const struct attempt *a;
+
+	if (att->state == ATTEMPT_NOT_SENT)
+		outcome = CS_OUTCOME_UNSENT;
+	else if (att->state == ATTEMPT_REFUSED)
+		outcome = CS_OUTCOME_REFUSED;
+	else
+		req->ran = RAN_UNKNOWN;
+	attempt_end(att, outcome);
+	TAILQ_FOREACH(a, &req->attempts, entry)
+		others = others || a->running;
+	retry = !others && may_retry(req, att);
+	attempt_free(att);
+	if (others)
+		return;
+	cs_timer_stop(&req->aux);
+	if (hop)
+		req->ask.hop_refused = true;
+	if (retry) {
+		if (!hop)
+			(*req->stats->retries)++;
+		request_decide(req);
+		return;
+	}
+	if (request_ran(req) == RAN_NO || cs_fault("attempts"))
+		request_refuse(req, CS_REFUSAL_NO_SERVER, CS_US_PER_MS);
+	else
+		request_error(req, 502, "lost", RAN_UNKNOWN,
+			      "the attempt was lost after sending; the outcome is unknown");
+}
+
+/* Whether the answer is sent only when all of it is in. */
+static bool held_whole(const struct attempt *att)
+{
+	return att->no_body || (att->framing == FRAMING_LENGTH && att->length <= BUFFER_MAX);
+}
+
+/* The winner's transfer ended while its answer streams. */
+static void winner_ended(struct request *req)
+{
+	struct attempt *att = req->winner;
+
+	cs_timer_stop(&req->deadline);
+	attempt_end(att, att->failed || att->status >= 500 ? CS_OUTCOME_ERROR : CS_OUTCOME_OK);
+	if (att->failed)
+		(*req->proxyd->stats.truncated)++;
+	server_resume(req);
+}
+
+void request_progress(struct request *req)
+{
+	struct attempt *att, *next;
+
+	if (req->gone)
+		return;
+	TAILQ_FOREACH_SAFE(att, &req->attempts, entry, next) {
+		if (req->winner != NULL)
+			break;
+		if (!att->running && !att->ended) {
+			if (att->whole && !att->refused)
+				request_win(req, att);
+			else
+				attempt_failed(req, att);
+			/* The list may have changed. */
+			next = TAILQ_FIRST(&req->attempts);
+		} else if (att->running && att->head_done && !att->refused && !held_whole(att)) {
+			request_win(req, att);
+		}
+		if (req->stage == STAGE_ANSWER)
+			break;
+	}
+	att = req->winner;
+	if (att == NULL)
+		return;
+	if (!att->running && !att->ended)
+		winner_ended(req);
+	else if (ring_used(&att->data) > 0)
+		server_resume(req);
+}
+
+void request_work(struct request *req)
+{
+	struct proxyd *p = req->proxyd;
+
+	if (req->work)
+		return;
+	req->work = true;
+	TAILQ_INSERT_TAIL(&p->work, req, work_entry);
+}
+
+/* The deadline passed: running attempts are cancelled. */
+static void on_deadline(struct cs_timer *t, void *arg)
+{
+	struct request *req = arg;
+	enum ran ran = cs_fault("attempts") ? RAN_NO : request_ran(req);
+
+	if (req->stage == STAGE_ANSWER) {
+		if (req->winner != NULL && req->winner->running) {
+			req->winner->failed = true;
+			(*req->proxyd->stats.truncated)++;
+			attempt_end(req->winner, CS_OUTCOME_TIMEOUT);
+			server_resume(req);
+		}
+		return;
+	}
+	end_attempts(req, NULL, CS_OUTCOME_TIMEOUT);
+	if (ran == RAN_NO && req->has_body && !req->body_ended && req->stage == STAGE_BODY)
+		request_error(req, 408, "slow_body", RAN_NO, "the body did not arrive in time");
+	else
+		request_error(req, 504, "deadline", ran, "the deadline passed");
+}
+
+/* Sends a second attempt if the first is slow and the budget allows it. */
+static void hedge(struct request *req)
+{
+	struct proxyd *p = req->proxyd;
+	struct cs_target *t = cs_policy_take_hedge(p->policy, &req->ask, cs_mono_us());
+	struct attempt *att;
+
+	if (t == NULL)
+		return;
+	take_target(req, t);
+	(*req->stats->hedges)++;
+	att = attempt_start(req, t);
+	att->hedge = true;
+}
+
+static void on_aux(struct cs_timer *t, void *arg)
+{
+	struct request *req = arg;
+
+	if (req->stage == STAGE_RUNNING) {
+		hedge(req);
+	} else if (req->stage == STAGE_WAITING) {
+		cs_policy_forget(req->proxyd->policy, &req->ask);
+		request_refuse(req, CS_REFUSAL_OVERLOAD, CS_US_PER_MS);
+	}
+}
+
+/* No byte of the body came for too long. */
+static void on_idle(struct cs_timer *t, void *arg)
+{
+	struct request *req = arg;
+
+	request_error(req, 408, "slow_body", request_ran(req), "no byte of the body came for 5 s");
+}
--- /dev/null
+++ b/src/proxyd/view.c
@@ -0,0 +1,123 @@
+/* Link to the agent: views in, reports out. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/proxyd/proxyd.h"
+
+static void on_view(const struct cs_view *v, void *arg);
+static void on_report(struct cs_report *r, void *arg);
+
+bool view_start(struct proxyd *p, const char *endpoint, struct cs_msg *msg)
+{
+	p->link = cs_link_create(p->loop, p->timers, endpoint, p->bind_source ? p->address : NULL,
+				 CS_LINK_PROXY, on_view, on_report, p, msg);
+	return p->link != NULL;
+}
+
+void view_stop(struct proxyd *p)
+{
+	cs_link_destroy(p->link);
+	free(p->report_loads);
+}
+
+/* Takes waiting requests out of the queue: class indexes belong to one configuration. */
+static void unqueue(struct proxyd *p)
+{
+	struct request *req;
+
+	TAILQ_FOREACH(req, &p->requests, entry)
+		cs_policy_forget(p->policy, &req->ask);
+}
+
+/* Finds each request's class again by name; a request whose class is gone keeps index 0. */
+static void reindex(struct proxyd *p, struct cs_config *cfg)
+{
+	struct request *req;
+	int i;
+
+	TAILQ_FOREACH(req, &p->requests, entry) {
+		if (req->stats == NULL)
+			continue;
+		i = cs_config_class(cfg, req->class_name);
+		req->ask.class_index = i < 0 ? 0 : (unsigned)i;
+		req->class_gone = i < 0;
+	}
+}
+
+/* Decides anew on the requests that waited. */
+static void requeue(struct proxyd *p)
+{
+	struct request *req, *next;
+
+	TAILQ_FOREACH_SAFE(req, &p->requests, entry, next) {
+		if (req->stage != STAGE_WAITING || req->gone)
+			continue;
+		if (req->class_gone)
+			request_error(req, 404, "unknown_class", request_ran(req),
+				      "the class was removed from the configuration");
+		else
+			request_decide(req);
+	}
+}
+
+static void on_view(const struct cs_view *v, void *arg)
+{
+	struct proxyd *p = arg;
+	struct cs_config *old = cs_policy_config(p->policy), *cfg;
+	uint64_t revision = old ? old->revision : 0;
+	bool changed = v->cfg != NULL && v->cfg->revision > revision;
+
+	if (changed)
+		unqueue(p);
+	cs_policy_update(p->policy, v, cs_mono_us());
+	cfg = cs_policy_config(p->policy);
+	if (changed && cfg != NULL) {
+		stats_config(&p->stats, cfg);
+		reindex(p, cfg);
+		requeue(p);
+		cs_log(CS_NOTICE, "view", "Configuration in force. revision=%llu",
+		       (unsigned long long)cfg->revision);
+	}
+	*p->stats.ready = cfg != NULL && p->stop == STOP_NO;
+	p->pump = true;
+}
+
+/* Copies the policy's rows into the report. */
+static void fill_loads(struct proxyd *p, struct cs_report *r)
+{
+	unsigned n = cs_policy_loads(p->policy, NULL, 0, cs_mono_us()), i;
+	struct cs_policy_load *rows;
+
+	if (n == 0)
+		return;
+	rows = cs_xcalloc(n, sizeof(*rows));
+	n = cs_policy_loads(p->policy, rows, n, cs_mono_us());
+	p->report_loads = cs_xrealloc(p->report_loads, n, sizeof(*p->report_loads));
+	for (i = 0; i < n; i++) {
+		struct cs_report_load *to = &p->report_loads[i];
+
+		cs_copy(to->service, sizeof(to->service), rows[i].service);
+		to->capacity = rows[i].capacity;
+		to->in_flight = rows[i].in_flight;
+		to->waiting = rows[i].waiting;
+		to->foreign = rows[i].foreign;
+		to->service_us = rows[i].service_us;
+		to->out_of_target = rows[i].out_of_target;
+	}
+	free(rows);
+	r->loads = p->report_loads;
+	r->n_loads = n;
+}
+
+static void on_report(struct cs_report *r, void *arg)
+{
+	struct proxyd *p = arg;
+	const struct cs_config *cfg = cs_policy_config(p->policy);
+
+	r->kind = CS_LINK_PROXY;
+	r->ready = cfg != NULL && p->stop == STOP_NO;
+	r->stopping = p->stop != STOP_NO;
+	r->roster = cs_policy_roster(p->policy);
+	r->revision = cfg ? cfg->revision : 0;
+	fill_loads(p, r);
+}
