Add standin-links

TCP relay between zones: delay, shared rate limit, cut and black hole for each pair of source and target zone, set over a control port. The source zone follows from the caller's address, which the relay also binds on its own connection, so that daemons see the real source. A tree of due times and one timerfd give delays in finer steps than the loop's 1 ms.

--- /dev/null
+++ b/tests/standins/links/relay.c
@@ -0,0 +1,346 @@
+/*
+ * Connections. Each direction is a queue of chunks with a delivery time; the directions that have
+ * something to deliver are in a tree by that time, served by one timerfd.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include "tests/standins/links/links.h"
+
+#define CHUNK 65536
+#define QUEUE_MAX (4 * 1024 * 1024) /* bytes on the way in one direction */
+
+struct chunk {
+	STAILQ_ENTRY(chunk) entry;
+	uint64_t due_us;
+	size_t len, pos; /* len 0: the sender closed its side */
+	char data[];
+};
+
+struct conn;
+
+/* One direction of a connection. */
+struct flow {
+	RB_ENTRY(flow) entry;
+	struct conn *conn;
+	struct pair *pair;
+	int from, to;
+	ev_io in, out;
+	STAILQ_HEAD(, chunk) chunks;
+	size_t queued;
+	uint64_t due_us;
+	bool planned; /* in the tree */
+	bool ended; /* end of the sender's data read */
+	bool closed; /* end delivered */
+	uint64_t *bytes;
+};
+
+struct conn {
+	LIST_ENTRY(conn) entry;
+	struct flow up, down; /* up: caller to server */
+	int client, server;
+	bool connecting;
+};
+
+RB_HEAD(flow_tree, flow);
+
+static struct flow_tree tree = RB_INITIALIZER(&tree);
+static LIST_HEAD(, conn) conns = LIST_HEAD_INITIALIZER(conns);
+static unsigned n_conns;
+static int timer_fd;
+static ev_io timer_io;
+
+static int flow_cmp(struct flow *a, struct flow *b);
+CS_RB_GENERATE(flow_tree, flow, entry, flow_cmp)
+
+static void flow_deliver(struct flow *f);
+
+static int flow_cmp(struct flow *a, struct flow *b)
+{
+	if (a->due_us != b->due_us)
+		return a->due_us < b->due_us ? -1 : 1;
+	return a < b ? -1 : a > b;
+}
+
+static void arm(void)
+{
+	struct flow *f = RB_MIN(flow_tree, &tree);
+	struct itimerspec it = {0};
+
+	if (f != NULL) {
+		it.it_value.tv_sec = (time_t)(f->due_us / CS_US_PER_S);
+		it.it_value.tv_nsec = (long)(f->due_us % CS_US_PER_S) * 1000 + 1;
+	}
+	timerfd_settime(timer_fd, TFD_TIMER_ABSTIME, &it, NULL);
+}
+
+static void unplan(struct flow *f)
+{
+	if (f->planned)
+		RB_REMOVE(flow_tree, &tree, f);
+	f->planned = false;
+}
+
+/* Puts the flow into the tree by its first chunk, unless it waits for its socket or a black hole. */
+static void plan(struct flow *f)
+{
+	struct chunk *c = STAILQ_FIRST(&f->chunks);
+
+	unplan(f);
+	if (c == NULL || f->pair->mode == MODE_HOLE || ev_is_active(&f->out) || f->conn->connecting)
+		return;
+	f->due_us = c->due_us;
+	f->planned = true;
+	RB_INSERT(flow_tree, &tree, f);
+}
+
+static void flow_free(struct flow *f)
+{
+	struct chunk *c;
+
+	unplan(f);
+	ev_io_stop(loop, &f->in);
+	ev_io_stop(loop, &f->out);
+	while ((c = STAILQ_FIRST(&f->chunks)) != NULL) {
+		STAILQ_REMOVE_HEAD(&f->chunks, entry);
+		free(c);
+	}
+}
+
+static void conn_close(struct conn *c, bool reset)
+{
+	struct linger now = {.l_onoff = 1, .l_linger = 0};
+
+	flow_free(&c->up);
+	flow_free(&c->down);
+	if (reset) {
+		setsockopt(c->client, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+		setsockopt(c->server, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	}
+	close(c->client);
+	close(c->server);
+	LIST_REMOVE(c, entry);
+	n_conns--;
+	free(c);
+}
+
+static void on_in(struct ev_loop *l, ev_io *w, int events)
+{
+	struct flow *f = w->data;
+	static char buf[CHUNK];
+	struct chunk *c;
+	ssize_t n = recv(f->from, buf, sizeof(buf), 0);
+
+	if (n < 0) {
+		if (errno != EAGAIN && errno != EINTR)
+			conn_close(f->conn, true);
+		return;
+	}
+	c = cs_xcalloc(1, sizeof(*c) + (size_t)n);
+	c->len = (size_t)n;
+	memcpy(c->data, buf, (size_t)n);
+	c->due_us = pair_due(f->pair, cs_mono_us(), (size_t)n);
+	STAILQ_INSERT_TAIL(&f->chunks, c, entry);
+	f->queued += (size_t)n;
+	if (n == 0)
+		f->ended = true;
+	if (n == 0 || f->queued >= QUEUE_MAX)
+		ev_io_stop(l, w);
+	if (!f->planned && f->pair->mode == MODE_OK && c->due_us <= cs_mono_us())
+		flow_deliver(f);
+	else if (!f->planned)
+		plan(f);
+	arm();
+}
+
+/* Sends what is due; may free the connection. */
+static void flow_deliver(struct flow *f)
+{
+	uint64_t now = cs_mono_us();
+	struct chunk *c;
+	ssize_t n;
+
+	unplan(f);
+	if (f->conn->connecting || ev_is_active(&f->out))
+		return;
+	while ((c = STAILQ_FIRST(&f->chunks)) != NULL && c->due_us <= now) {
+		if (c->len == 0) {
+			shutdown(f->to, SHUT_WR);
+			f->closed = true;
+			if (f->conn->up.closed && f->conn->down.closed) {
+				conn_close(f->conn, false);
+				return;
+			}
+		} else {
+			n = send(f->to, c->data + c->pos, c->len - c->pos, MSG_NOSIGNAL);
+			if (n < 0 && errno != EAGAIN && errno != EINTR) {
+				conn_close(f->conn, true);
+				return;
+			}
+			if (n > 0) {
+				c->pos += (size_t)n;
+				*f->bytes += (uint64_t)n;
+			}
+			if (c->pos < c->len) {
+				ev_io_start(loop, &f->out);
+				return;
+			}
+		}
+		f->queued -= c->len;
+		STAILQ_REMOVE_HEAD(&f->chunks, entry);
+		free(c);
+	}
+	if (!f->ended && f->queued < QUEUE_MAX)
+		ev_io_start(loop, &f->in);
+	plan(f);
+}
+
+static void on_out(struct ev_loop *l, ev_io *w, int events)
+{
+	struct flow *f = w->data;
+	socklen_t len = sizeof(int);
+	int err = 0;
+
+	ev_io_stop(l, w);
+	if (f->conn->connecting) {
+		getsockopt(f->to, SOL_SOCKET, SO_ERROR, &err, &len);
+		if (err != 0) {
+			conn_close(f->conn, true);
+			return;
+		}
+		f->conn->connecting = false;
+		ev_io_start(l, &f->conn->down.in);
+	}
+	plan(f);
+	arm();
+}
+
+static void on_timer(struct ev_loop *l, ev_io *w, int events)
+{
+	uint64_t n, now = cs_mono_us();
+	struct flow *f;
+
+	if (read(w->fd, &n, sizeof(n)) < 0 && errno != EAGAIN)
+		return;
+	while ((f = RB_MIN(flow_tree, &tree)) != NULL && f->due_us <= now)
+		flow_deliver(f);
+	arm();
+}
+
+static void flow_init(struct flow *f, struct conn *c, int from, int to, struct pair *pair,
+		      uint64_t *bytes)
+{
+	f->conn = c;
+	f->pair = pair;
+	f->from = from;
+	f->to = to;
+	f->bytes = bytes;
+	STAILQ_INIT(&f->chunks);
+	ev_io_init(&f->in, on_in, from, EV_READ);
+	ev_io_init(&f->out, on_out, to, EV_WRITE);
+	f->in.data = f->out.data = f;
+}
+
+/* Connects to the real address with the caller's own source address. */
+static int connect_real(const struct listener *l, const struct sockaddr_in *peer)
+{
+	struct sockaddr_in src = {.sin_family = AF_INET, .sin_addr = peer->sin_addr};
+	struct sockaddr_in dst = {.sin_family = AF_INET, .sin_port = htons(l->to_port)};
+	int fd, one = 1;
+
+	inet_pton(AF_INET, l->to_addr, &dst.sin_addr);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&src, sizeof(src)) != 0 ||
+	    (connect(fd, (struct sockaddr *)&dst, sizeof(dst)) != 0 && errno != EINPROGRESS)) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+static void on_accept(struct ev_loop *loop_, ev_io *w, int events)
+{
+	struct linger now = {.l_onoff = 1, .l_linger = 0};
+	struct listener *l = w->data;
+	struct sockaddr_in peer;
+	socklen_t len = sizeof(peer);
+	struct conn *c;
+	char addr[46];
+	unsigned from;
+	int fd, one = 1, server;
+
+	fd = accept4(l->fd, (struct sockaddr *)&peer, &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	if (fd < 0)
+		return;
+	inet_ntop(AF_INET, &peer.sin_addr, addr, sizeof(addr));
+	from = zone_of(addr);
+	l->connections++;
+	server = -1;
+	if (pair_get(from, l->zone)->mode != MODE_CUT && pair_get(l->zone, from)->mode != MODE_CUT)
+		server = connect_real(l, &peer);
+	if (server < 0) {
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+		close(fd);
+		return;
+	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	c = cs_xcalloc(1, sizeof(*c));
+	c->client = fd;
+	c->server = server;
+	c->connecting = true;
+	flow_init(&c->up, c, fd, server, pair_get(from, l->zone), &l->bytes_to);
+	flow_init(&c->down, c, server, fd, pair_get(l->zone, from), &l->bytes_from);
+	LIST_INSERT_HEAD(&conns, c, entry);
+	n_conns++;
+	ev_io_start(loop_, &c->up.in);
+	ev_io_start(loop_, &c->up.out);
+}
+
+void relay_apply(void)
+{
+	struct conn *c, *next;
+
+	LIST_FOREACH_SAFE(c, &conns, entry, next) {
+		if (c->up.pair->mode == MODE_CUT || c->down.pair->mode == MODE_CUT) {
+			conn_close(c, true);
+			continue;
+		}
+		plan(&c->up);
+		plan(&c->down);
+	}
+	arm();
+}
+
+unsigned relay_open(void)
+{
+	return n_conns;
+}
+
+bool relay_start(struct cs_msg *msg)
+{
+	struct listener *l;
+
+	timer_fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+	ev_io_init(&timer_io, on_timer, timer_fd, EV_READ);
+	ev_io_start(loop, &timer_io);
+	TAILQ_FOREACH(l, &listeners, entry) {
+		l->fd = cs_listen(l->addr, l->port, &l->port, msg);
+		if (l->fd < 0)
+			return false;
+		ev_io_init(&l->io, on_accept, l->fd, EV_READ);
+		l->io.data = l;
+		ev_io_start(loop, &l->io);
+	}
+	return true;
+}
