Add cassia-lookupd and cassiactl

Cause: callers need entry instances and operators need commands. Ruled out: /v1/config at the agent for reading in an outage, the lookup daemon serves it, which needs no change in the agent.

--- a/lib/model/model.h
+++ b/lib/model/model.h
@@ -239,5 +239,7 @@
 
 struct cs_view *cs_view_create(void);
 void cs_view_destroy(struct cs_view *v);
+/* Copy with own arrays and a reference to the same configuration. */
+struct cs_view *cs_view_copy(const struct cs_view *v);
 
 #endif
--- a/lib/model/view.c
+++ b/lib/model/view.c
@@ -44,3 +44,28 @@
 	free(v->loans);
 	free(v);
 }
+
+/* Copy of an array; NULL for an empty one. */
+static void *copy_array(const void *from, unsigned n, size_t size)
+{
+	void *to;
+
+	if (n == 0)
+		return NULL;
+	to = cs_xcalloc(n, size);
+	memcpy(to, from, n * size);
+	return to;
+}
+
+struct cs_view *cs_view_copy(const struct cs_view *v)
+{
+	struct cs_view *c = cs_view_create();
+
+	*c = *v;
+	c->cfg = cs_config_ref(v->cfg);
+	c->members = copy_array(v->members, v->n_members, sizeof(*v->members));
+	c->servers = copy_array(v->servers, v->n_servers, sizeof(*v->servers));
+	c->loads = copy_array(v->loads, v->n_loads, sizeof(*v->loads));
+	c->loans = copy_array(v->loans, v->n_loans, sizeof(*v->loans));
+	return c;
+}
--- /dev/null
+++ b/src/ctl/cmd-locate.c
@@ -0,0 +1,122 @@
+/* locate CLASS ADDR: what a caller is told, and why. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/ctl/fleet.h"
+
+static char *opt_from;
+
+static const GOptionEntry options[] = {
+	{"from", 0, 0, G_OPTION_ARG_STRING, &opt_from, "Ask this instance only", "NAME"},
+	{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+};
+
+static void print_answer(const json_t *doc)
+{
+	const char *zone = json_string_value(json_object_get(doc, "caller_zone"));
+	const char *block = json_string_value(json_object_get(doc, "block"));
+	struct ctl_table *t;
+	json_t *e;
+	size_t i;
+
+	if (zone != NULL)
+		printf("caller is nearest to zone %s by block %s", zone, block ? block : "-");
+	else
+		printf("no block holds the caller's address");
+	printf("; revision %lld, kept for %lld ms, told by %s\n",
+	       (long long)json_integer_value(json_object_get(doc, "revision")),
+	       (long long)json_integer_value(json_object_get(doc, "ttl_ms")),
+	       json_string_value(json_object_get(doc, "told_by")));
+	if (json_array_size(json_object_get(doc, "entries")) == 0) {
+		puts("no entry instance is usable");
+		return;
+	}
+	t = ctl_table_create("ORDER|INSTANCE|ZONE|ADDRESS|STATE|REASON");
+	json_array_foreach(json_object_get(doc, "entries"), i, e) {
+		const char *reason = json_string_value(json_object_get(e, "reason"));
+
+		ctl_cell(t, "%zu", i + 1);
+		ctl_cell(t, "%s", json_string_value(json_object_get(e, "instance")));
+		ctl_cell(t, "%s", json_string_value(json_object_get(e, "zone")));
+		ctl_cell(t, "%s:%lld", json_string_value(json_object_get(e, "address")),
+			 (long long)json_integer_value(json_object_get(e, "port")));
+		ctl_cell(t, "%s", json_string_value(json_object_get(e, "state")));
+		ctl_cell(t, "%s", reason ? reason : "");
+	}
+	ctl_table_print(t);
+}
+
+/* Message of an error answer, or the text itself. */
+static void print_refusal(struct ctl *ctl, const struct ctl_fetch *f)
+{
+	json_t *doc = json_loads(f->body, 0, NULL);
+	const char *text = json_string_value(json_object_get(doc, "message"));
+
+	ctl_error(ctl, "%s", text != NULL ? text : f->body);
+	json_decref(doc);
+}
+
+/* Asks one instance; -1 if it gave no answer. */
+static int ask(struct ctl *ctl, const struct ctl_instance *in, const char *path)
+{
+	struct ctl_fetch *f = cs_xcalloc(1, sizeof(*f));
+	int rc = -1;
+	json_t *doc;
+
+	f->url = ctl_url(in, in->lookup_port, path);
+	ctl_fetch_all(ctl, f, 1);
+	if (f->status == 200) {
+		doc = json_loads(f->body, 0, NULL);
+		rc = json_array_size(json_object_get(doc, "entries")) > 0 ? CTL_OK : CTL_FAILURE;
+		if (ctl->json)
+			ctl_print_json(json_incref(doc));
+		else
+			print_answer(doc);
+		json_decref(doc);
+	} else if (f->status == 400 || f->status == 404) {
+		print_refusal(ctl, f);
+		rc = CTL_FAILURE;
+	}
+	ctl_fetch_free(f, 1);
+	return rc;
+}
+
+static int run(struct ctl *ctl, int argc, char **argv)
+{
+	char *class = g_uri_escape_string(argv[0], NULL, FALSE);
+	char *addr = g_uri_escape_string(argv[1], NULL, FALSE);
+	char *path = cs_xasprintf("/v1/locate?class=%s&addr=%s", class, addr);
+	struct ctl_fleet fleet;
+	int rc, answer = -1;
+	unsigned i;
+
+	rc = ctl_fleet_load(ctl, 0, &fleet);
+	for (i = 0; rc == CTL_OK && answer < 0 && i < fleet.n; i++) {
+		if (opt_from == NULL || strcmp(opt_from, fleet.list[i].name) == 0)
+			answer = ask(ctl, &fleet.list[i], path);
+	}
+	if (rc == CTL_OK && answer < 0) {
+		ctl_error(ctl, "no lookup daemon answers%s%s", opt_from ? " at " : "",
+			  opt_from ? opt_from : "");
+		rc = CTL_FAILURE;
+	} else if (rc == CTL_OK) {
+		rc = answer;
+	}
+	ctl_fleet_free(&fleet);
+	g_free(class);
+	g_free(addr);
+	free(path);
+	return rc;
+}
+
+const struct cmd cmd_locate = {
+	.name = "locate",
+	.args = "CLASS ADDRESS",
+	.summary = "Show which entry instances a caller is told to use, and why",
+	.examples = "  cassiactl locate bookings 10.1.7.20\n"
+		    "  cassiactl locate bookings 10.1.7.20 --from ven-padova-1",
+	.options = options,
+	.min_args = 2,
+	.max_args = 2,
+	.run = run,
+};
--- /dev/null
+++ b/src/ctl/cmd-status.c
@@ -0,0 +1,162 @@
+/* status: the deployment at a glance, one row an instance. */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/ctl/fleet.h"
+
+/* State as the other instances see it; "unknown" if no agent answered. */
+static const char *seen_state(const struct cs_view *v, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < v->n_members; i++) {
+		if (strcmp(v->members[i].name, name) == 0)
+			return cs_member_state_name(v->members[i].state);
+	}
+	return "unknown";
+}
+
+/* Parts of an agent that are not ok, with their message; free() it. */
+static char *degraded(const json_t *state)
+{
+	GString *s = g_string_new("");
+	const char *key;
+	json_t *part;
+
+	json_object_foreach(json_object_get(state, "parts"), key, part) {
+		const char *st = json_string_value(json_object_get(part, "status"));
+		const char *msg = json_string_value(json_object_get(part, "message"));
+
+		if (st != NULL && strcmp(st, "ok") != 0)
+			g_string_append_printf(s, "%s%s: %s", s->len > 0 ? "; " : "", key,
+					       msg ? msg : st);
+	}
+	return g_string_free(s, FALSE);
+}
+
+static json_t *instance_json(const struct ctl_instance *in, const struct cs_view *v)
+{
+	char *bad = degraded(in->agent);
+	json_t *row =
+		json_pack("{s:s, s:s, s:s, s:s, s:s, s:b, s:b, s:I, s:b, s:s}", "instance",
+			  in->name, "zone", in->zone, "address", in->addr, "listed", in->listed,
+			  "state", seen_state(v, in->name), "answers", in->agent != NULL, "ready",
+			  json_is_true(json_object_get(in->agent, "ready")), "revision",
+			  json_integer_value(json_object_get(in->agent, "revision")), "watcher",
+			  json_is_true(json_object_get(in->agent, "watcher")), "degraded", bad);
+
+	g_free(bad);
+	return row;
+}
+
+static void print_instances(const struct ctl_fleet *fleet, const struct cs_view *v)
+{
+	struct ctl_table *t =
+		ctl_table_create("INSTANCE|ZONE|LISTED|STATE|READY|REVISION|WATCHER|NOTES");
+	unsigned i;
+	char *bad;
+
+	for (i = 0; i < fleet->n; i++) {
+		const struct ctl_instance *in = &fleet->list[i];
+
+		bad = degraded(in->agent);
+		ctl_cell(t, "%s", in->name);
+		ctl_cell(t, "%s", in->zone);
+		ctl_cell(t, "%s", in->listed[0] ? in->listed : "no");
+		ctl_cell(t, "%s", seen_state(v, in->name));
+		ctl_cell(t, "%s",
+			 in->agent == NULL				     ? "-"
+			 : json_is_true(json_object_get(in->agent, "ready")) ? "yes"
+									     : "no");
+		ctl_cell(t, "%" PRId64,
+			 (int64_t)json_integer_value(json_object_get(in->agent, "revision")));
+		ctl_cell(t, "%s", json_is_true(json_object_get(in->agent, "watcher")) ? "yes" : "");
+		ctl_cell(t, "%s", in->agent == NULL ? "its agent does not answer" : bad);
+		g_free(bad);
+	}
+	ctl_table_print(t);
+}
+
+static unsigned behind(const struct ctl_fleet *fleet, uint64_t revision)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < fleet->n; i++) {
+		json_int_t r =
+			json_integer_value(json_object_get(fleet->list[i].agent, "revision"));
+
+		n += fleet->list[i].agent != NULL && (uint64_t)r != revision;
+	}
+	return n;
+}
+
+static void print_head(const struct ctl_doc *doc, const struct ctl_fleet *fleet)
+{
+	unsigned i, answer = 0, ready = 0;
+	char until[CS_TIME_MAX];
+
+	for (i = 0; i < fleet->n; i++) {
+		answer += fleet->list[i].agent != NULL;
+		ready += json_is_true(json_object_get(fleet->list[i].agent, "ready"));
+	}
+	printf("deployment %s, revision %" PRIu64 ", read from %s\n", doc->cfg->deployment,
+	       doc->cfg->revision, fleet->from_store ? "the store" : "an instance");
+	printf("instances: %u listed, %u answer, %u ready, %u at another revision\n", fleet->n,
+	       answer, ready, behind(fleet, doc->cfg->revision));
+	for (i = 0; i < doc->cfg->n_drains; i++) {
+		const struct cs_drain *d = &doc->cfg->drains[i];
+
+		cs_time_format(d->deadline_ms, until);
+		printf("drain %s of %s %s until %s\n", d->id,
+		       d->kind == CS_DRAIN_ZONE ? "zone" : "region",
+		       d->kind == CS_DRAIN_ZONE ? doc->cfg->zones[d->target].name
+						: doc->cfg->regions[d->target].name,
+		       until);
+	}
+	puts("");
+}
+
+static int run(struct ctl *ctl, int argc, char **argv)
+{
+	struct ctl_fleet fleet = {0};
+	struct ctl_doc doc = {0};
+	struct cs_view *v;
+	json_t *list;
+	unsigned i;
+	int rc;
+
+	rc = ctl_doc_load(ctl, &doc);
+	if (rc == CTL_OK)
+		rc = ctl_fleet_load(ctl, FLEET_AGENT, &fleet);
+	if (rc != CTL_OK)
+		goto out;
+	v = ctl_fleet_view(&fleet, doc.cfg);
+	if (ctl->json) {
+		list = json_array();
+		for (i = 0; i < fleet.n; i++)
+			json_array_append_new(list, instance_json(&fleet.list[i], v));
+		ctl_print_json(json_pack(
+			"{s:s, s:I, s:b, s:i, s:o}", "deployment", doc.cfg->deployment, "revision",
+			(json_int_t)doc.cfg->revision, "from_store", fleet.from_store, "drains",
+			(int)doc.cfg->n_drains, "instances", list));
+	} else {
+		print_head(&doc, &fleet);
+		print_instances(&fleet, v);
+	}
+	cs_view_destroy(v);
+out:
+	ctl_fleet_free(&fleet);
+	ctl_doc_free(&doc);
+	return rc;
+}
+
+const struct cmd cmd_status = {
+	.name = "status",
+	.args = "",
+	.summary = "Show the deployment: revision, instances, drains",
+	.examples = "  cassiactl status\n"
+		    "  cassiactl status --json\n"
+		    "  cassiactl status --instance 127.0.0.1:7004   (while the store is down)",
+	.run = run,
+};
--- /dev/null
+++ b/src/ctl/counters.c
@@ -0,0 +1,181 @@
+/* Reads the proxies' counters and builds differences that survive restarts. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/ctl/counters.h"
+
+/* Counters of cassia-proxyd and where they go. */
+struct source {
+	const char *name;
+	const char *quantile; /* of a histogram, or NULL */
+	size_t offset;
+};
+
+static const struct source sources[] = {
+	{"cassia_proxy_requests_total", NULL, offsetof(struct counters, requests)},
+	{"cassia_proxy_ok_total", NULL, offsetof(struct counters, ok)},
+	{"cassia_proxy_in_target_total", NULL, offsetof(struct counters, within)},
+	{"cassia_proxy_refused_total", NULL, offsetof(struct counters, refused)},
+	{"cassia_proxy_failed_total", NULL, offsetof(struct counters, failed)},
+	{"cassia_proxy_latency_us", "0.5", offsetof(struct counters, p50_us)},
+	{"cassia_proxy_latency_us", "0.99", offsetof(struct counters, p99_us)},
+};
+
+/* Value of a label in "{a="x",b="y"}"; false if it is absent. */
+static bool label(const char *labels, const char *key, char *out, size_t size)
+{
+	char pattern[32];
+	const char *p, *end;
+	size_t len;
+
+	snprintf(pattern, sizeof(pattern), "%s=\"", key);
+	p = strstr(labels, pattern);
+	if (p == NULL)
+		return false;
+	p += strlen(pattern);
+	end = strchr(p, '"');
+	if (end == NULL)
+		return false;
+	len = (size_t)(end - p) < size - 1 ? (size_t)(end - p) : size - 1;
+	memcpy(out, p, len);
+	out[len] = '\0';
+	return true;
+}
+
+static struct counters *row_for(struct sample *s, const char *class, const char *instance,
+				const char *zone)
+{
+	struct counters *c;
+	unsigned i;
+
+	for (i = 0; i < s->n; i++) {
+		if (strcmp(s->rows[i].class, class) == 0 &&
+		    strcmp(s->rows[i].instance, instance) == 0)
+			return &s->rows[i];
+	}
+	s->rows = cs_xrealloc(s->rows, s->n + 1, sizeof(*s->rows));
+	c = &s->rows[s->n++];
+	memset(c, 0, sizeof(*c));
+	cs_copy(c->class, sizeof(c->class), class);
+	cs_copy(c->instance, sizeof(c->instance), instance);
+	cs_copy(c->zone, sizeof(c->zone), zone);
+	return c;
+}
+
+/* Takes one line "NAME{LABELS} VALUE" if it is one of the sources. */
+static void take_line(struct sample *s, const char *instance, const char *zone, const char *line)
+{
+	const char *open = strchr(line, '{'), *close = strrchr(line, '}');
+	char class[CS_NAME_MAX], quantile[16];
+	struct counters *row;
+	uint64_t *slot;
+	size_t i;
+
+	if (open == NULL || close == NULL || !label(open, "class", class, sizeof(class)))
+		return;
+	for (i = 0; i < sizeof(sources) / sizeof(sources[0]); i++) {
+		size_t len = strlen(sources[i].name);
+
+		if ((size_t)(open - line) != len || strncmp(line, sources[i].name, len) != 0)
+			continue;
+		if (sources[i].quantile != NULL &&
+		    (!label(open, "quantile", quantile, sizeof(quantile)) ||
+		     strcmp(quantile, sources[i].quantile) != 0))
+			continue;
+		row = row_for(s, class, instance, zone);
+		slot = (uint64_t *)(void *)((char *)row + sources[i].offset);
+		*slot += g_ascii_strtoull(close + 1, NULL, 10);
+	}
+}
+
+void sample_add_text(struct sample *s, const char *instance, const char *zone, const char *text)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+	unsigned i;
+
+	for (i = 0; lines[i] != NULL; i++) {
+		if (lines[i][0] != '#')
+			take_line(s, instance, zone, lines[i]);
+	}
+	g_strfreev(lines);
+}
+
+void sample_take(struct sample *s, const struct ctl_fleet *fleet)
+{
+	unsigned i;
+
+	memset(s, 0, sizeof(*s));
+	s->wall_ms = cs_wall_ms();
+	for (i = 0; i < fleet->n; i++) {
+		const struct ctl_instance *in = &fleet->list[i];
+
+		if (in->metrics != NULL)
+			sample_add_text(s, in->name, in->zone, in->metrics);
+	}
+}
+
+void sample_free(struct sample *s)
+{
+	free(s->rows);
+	memset(s, 0, sizeof(*s));
+}
+
+const struct counters *sample_find(const struct sample *s, const char *class, const char *instance)
+{
+	unsigned i;
+
+	for (i = 0; i < s->n; i++) {
+		if (strcmp(s->rows[i].class, class) == 0 &&
+		    strcmp(s->rows[i].instance, instance) == 0)
+			return &s->rows[i];
+	}
+	return NULL;
+}
+
+struct counters counters_since(const struct counters *later, const struct sample *earlier)
+{
+	const struct counters *e =
+		earlier != NULL ? sample_find(earlier, later->class, later->instance) : NULL;
+	struct counters d = *later;
+
+	if (e == NULL || e->requests > later->requests || e->ok > later->ok ||
+	    e->within > later->within || e->refused > later->refused || e->failed > later->failed)
+		return d;
+	d.requests -= e->requests;
+	d.ok -= e->ok;
+	d.within -= e->within;
+	d.refused -= e->refused;
+	d.failed -= e->failed;
+	return d;
+}
+
+void counters_add(struct counters *a, const struct counters *b)
+{
+	a->requests += b->requests;
+	a->ok += b->ok;
+	a->within += b->within;
+	a->refused += b->refused;
+	a->failed += b->failed;
+	/* Quantiles of several processes cannot be added; the worst process is shown. */
+	a->p50_us = b->p50_us > a->p50_us ? b->p50_us : a->p50_us;
+	a->p99_us = b->p99_us > a->p99_us ? b->p99_us : a->p99_us;
+}
+
+struct counters sample_sum(const struct sample *later, const struct sample *earlier,
+			   const char *class, const char *zone)
+{
+	struct counters sum = {0}, d;
+	unsigned i;
+
+	cs_copy(sum.class, sizeof(sum.class), class);
+	for (i = 0; i < later->n; i++) {
+		const struct counters *row = &later->rows[i];
+
+		if (strcmp(row->class, class) != 0 ||
+		    (zone != NULL && strcmp(row->zone, zone) != 0))
+			continue;
+		d = counters_since(row, earlier);
+		counters_add(&sum, &d);
+	}
+	return sum;
+}
--- /dev/null
+++ b/src/ctl/main.c
@@ -0,0 +1,266 @@
+/* cassiactl: finds the command, reads the flags, runs it. */
+#include <locale.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/ctl/ctl.h"
+
+#define TIMEOUT_DEFAULT_MS 5000
+#define TIMEOUT_MIN_MS 100
+#define TIMEOUT_MAX_MS 600000
+
+const struct cmd *const cmds[] = {
+	&cmd_status,	   &cmd_zones,	      &cmd_servers,   &cmd_classes,
+	&cmd_targets,	   &cmd_top,	      &cmd_burn,      &cmd_drain_start,
+	&cmd_drain_status, &cmd_drain_cancel, &cmd_class_set, &cmd_apply,
+	&cmd_diff,	   &cmd_show,	      &cmd_history,   &cmd_settle,
+	&cmd_locate,	   &cmd_explain,      NULL,
+};
+
+static char *opt_store, *opt_instance, *opt_by, *opt_address;
+static gint opt_timeout = TIMEOUT_DEFAULT_MS;
+static gboolean opt_json, opt_version;
+
+static const GOptionEntry common[] = {
+	{"store", 0, 0, G_OPTION_ARG_STRING, &opt_store,
+	 "Platform store as consul:http://IP:PORT [CASSIA_STORE]", "URL"},
+	{"instance", 0, 0, G_OPTION_ARG_STRING, &opt_instance,
+	 "Admin address of an agent, for reading while the store is down", "IP:PORT"},
+	{"address", 0, 0, G_OPTION_ARG_STRING, &opt_address, "Source address [CASSIA_ADDRESS]",
+	 "IP"},
+	{"by", 0, 0, G_OPTION_ARG_STRING, &opt_by,
+	 "Operator's name in the history [CASSIA_BY, then USER]", "NAME"},
+	{"timeout-ms", 0, 0, G_OPTION_ARG_INT, &opt_timeout,
+	 "Time to wait for answers, 100 to 600000 ms, default 5000", "MS"},
+	{"json", 0, 0, G_OPTION_ARG_NONE, &opt_json, "Print JSON", NULL},
+	{"version", 0, 0, G_OPTION_ARG_NONE, &opt_version, "Print the version and exit", NULL},
+	{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+};
+
+static void usage(FILE *to)
+{
+	unsigned i;
+
+	fprintf(to, "Usage: cassiactl [FLAGS] COMMAND [FLAGS] [ARGUMENTS]\n\nCommands:\n");
+	for (i = 0; cmds[i] != NULL; i++)
+		fprintf(to, "  %-13s %s\n", cmds[i]->name, cmds[i]->summary);
+	fprintf(to, "\nFlags of all commands:\n");
+	for (i = 0; common[i].long_name != NULL; i++)
+		fprintf(to, "  --%-12s %s\n", common[i].long_name, common[i].description);
+	fprintf(to, "\nExit codes: 0 ok, 1 failure, 2 usage, 3 rejected, 4 conflict, 5 unknown "
+		    "outcome, 6 store unavailable\n"
+		    "cassiactl COMMAND --help shows flags and examples.\n");
+}
+
+/* Index in argv of the first word that is no flag or flag's value; argc if there is none. */
+static int first_word(int argc, char **argv, int from)
+{
+	int i, k;
+
+	for (i = from; i < argc; i++) {
+		if (argv[i][0] != '-')
+			return i;
+		for (k = 0; common[k].long_name != NULL; k++) {
+			if (strncmp(argv[i], "--", 2) == 0 &&
+			    strcmp(argv[i] + 2, common[k].long_name) == 0 &&
+			    common[k].arg != G_OPTION_ARG_NONE)
+				i++;
+		}
+	}
+	return argc;
+}
+
+/* Removes one word from argv. */
+static void drop_word(int *argc, char **argv, int at)
+{
+	memmove(&argv[at], &argv[at + 1], (size_t)(*argc - at) * sizeof(*argv));
+	--*argc;
+}
+
+static const struct cmd *find_name(const char *name)
+{
+	unsigned i;
+
+	for (i = 0; cmds[i] != NULL; i++) {
+		if (strcmp(cmds[i]->name, name) == 0)
+			return cmds[i];
+	}
+	return NULL;
+}
+
+/* Says what the command may have been. */
+static void unknown_command(const char *first, const char *second)
+{
+	const char *names[64];
+	struct cs_msg buf;
+	char *full = cs_xasprintf("%s %s", first, second);
+	bool group = false;
+	size_t n = 0, len = strlen(first);
+
+	for (; cmds[n] != NULL; n++) {
+		names[n] = cmds[n]->name;
+		if (strncmp(cmds[n]->name, first, len) == 0 && cmds[n]->name[len] == ' ')
+			group = true;
+	}
+	fprintf(stderr, "cassiactl: unknown command '%s'%s; cassiactl --help lists all\n",
+		group && second[0] ? full : first,
+		ctl_suggest(group ? full : first, names, n, &buf));
+	free(full);
+}
+
+/* Takes the command's one or two words out of argv. */
+static const struct cmd *take_command(int *argc, char **argv)
+{
+	int at = first_word(*argc, argv, 1), next = first_word(*argc, argv, at + 1);
+	const char *second = next < *argc ? argv[next] : "";
+	const struct cmd *cmd;
+	char *full;
+
+	if (at >= *argc)
+		return NULL;
+	full = cs_xasprintf("%s %s", argv[at], second);
+	cmd = find_name(full);
+	free(full);
+	if (cmd != NULL) {
+		drop_word(argc, argv, next);
+		drop_word(argc, argv, at);
+		return cmd;
+	}
+	cmd = find_name(argv[at]);
+	if (cmd == NULL)
+		unknown_command(argv[at], second);
+	else
+		drop_word(argc, argv, at);
+	return cmd;
+}
+
+/* Reads flags; what stays in argv are the positional arguments. */
+static bool read_flags(const struct cmd *cmd, int *argc, char ***argv)
+{
+	GOptionContext *ctx = g_option_context_new(cmd->args);
+	char *title = cs_xasprintf("cassiactl %s", cmd->name);
+	char *examples = cs_xasprintf("Examples:\n%s", cmd->examples);
+	GError *err = NULL;
+	bool ok;
+
+	g_set_prgname(title);
+	g_option_context_set_summary(ctx, cmd->summary);
+	g_option_context_set_description(ctx, examples);
+	if (cmd->options != NULL)
+		g_option_context_add_main_entries(ctx, cmd->options, NULL);
+	g_option_context_add_main_entries(ctx, common, NULL);
+	ok = g_option_context_parse(ctx, argc, argv, &err);
+	if (!ok) {
+		fprintf(stderr, "cassiactl: %s; cassiactl %s --help shows the flags\n",
+			err->message, cmd->name);
+		g_error_free(err);
+	}
+	g_option_context_free(ctx);
+	free(examples);
+	free(title);
+	if (ok && *argc > 1 && strcmp((*argv)[1], "--") == 0)
+		drop_word(argc, *argv, 1);
+	return ok;
+}
+
+/* Operator's name, cut to the characters of names. */
+static void set_by(struct ctl *ctl)
+{
+	const char *name = opt_by;
+	char *p;
+
+	if (name == NULL)
+		name = getenv("CASSIA_BY");
+	if (name == NULL)
+		name = getenv("USER");
+	if (name == NULL || name[0] == '\0')
+		name = "operator";
+	cs_copy(ctl->by, sizeof(ctl->by), name);
+	for (p = ctl->by; *p != '\0'; p++) {
+		if (!g_ascii_isalnum(*p) && strchr("._-", *p) == NULL)
+			*p = '-';
+	}
+}
+
+/* Fills the settings; false and a message on standard error for a wrong value. */
+static bool ctl_open(struct ctl *ctl)
+{
+	struct cs_msg msg;
+
+	ctl->json = opt_json;
+	if (opt_timeout < TIMEOUT_MIN_MS || opt_timeout > TIMEOUT_MAX_MS) {
+		ctl_error(ctl, "--timeout-ms: %d is not allowed; allowed: %d to %d ms", opt_timeout,
+			  TIMEOUT_MIN_MS, TIMEOUT_MAX_MS);
+		return false;
+	}
+	ctl->timeout_ms = (unsigned)opt_timeout;
+	ctl->instance = opt_instance;
+	ctl->source = opt_address != NULL ? opt_address : getenv("CASSIA_ADDRESS");
+	ctl->store_url = opt_store != NULL ? opt_store : getenv("CASSIA_STORE");
+	set_by(ctl);
+	ctl->loop = ev_default_loop(0);
+	ctl->timers = cs_timers_create(ctl->loop);
+	ctl->curl = cs_curl_create(ctl->loop, ctl->timers);
+	if (ctl->store_url == NULL)
+		return true;
+	ctl->store = cs_store_create(ctl->curl, ctl->timers, ctl->store_url, ctl->source, &msg);
+	if (ctl->store == NULL)
+		ctl_error(ctl, "%s", msg.text);
+	return ctl->store != NULL;
+}
+
+static void ctl_close(struct ctl *ctl)
+{
+	if (ctl->loop == NULL)
+		return;
+	cs_store_destroy(ctl->store);
+	cs_curl_destroy(ctl->curl);
+	cs_timers_destroy(ctl->timers);
+	ev_loop_destroy(ctl->loop);
+}
+
+/* Flags without a command. */
+static int run_bare(int argc, char **argv)
+{
+	int i;
+
+	for (i = 1; i < argc; i++) {
+		if (strcmp(argv[i], "--version") == 0) {
+			puts("cassiactl " CS_VERSION);
+			return CTL_OK;
+		}
+		if (strcmp(argv[i], "--help") == 0 || strcmp(argv[i], "-h") == 0) {
+			usage(stdout);
+			return CTL_OK;
+		}
+	}
+	usage(stderr);
+	return CTL_USAGE;
+}
+
+int main(int argc, char **argv)
+{
+	const struct cmd *cmd;
+	struct ctl ctl = {0};
+	int rc = CTL_USAGE;
+
+	setlocale(LC_ALL, "C.UTF-8");
+	cs_log_open("cassiactl", CS_WARNING);
+	if (first_word(argc, argv, 1) >= argc)
+		return run_bare(argc, argv);
+	cmd = take_command(&argc, argv);
+	if (cmd == NULL || !read_flags(cmd, &argc, &argv))
+		return CTL_USAGE;
+	if (opt_version) {
+		puts("cassiactl " CS_VERSION);
+		return CTL_OK;
+	}
+	if (argc - 1 < cmd->min_args || argc - 1 > cmd->max_args)
+		fprintf(stderr, "cassiactl: usage: cassiactl %s %s; --help shows examples\n",
+			cmd->name, cmd->args);
+	else if (ctl_open(&ctl))
+		rc = cmd->run(&ctl, argc - 1, argv + 1);
+	ctl_close(&ctl);
+	return rc;
+}
--- /dev/null
+++ b/src/ctl/view.c
@@ -0,0 +1,156 @@
+/* View merged from the agents' states; of two rows for one thing the younger is kept. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/ctl/fleet.h"
+
+static const char *text_of(const json_t *obj, const char *key)
+{
+	const char *s = json_string_value(json_object_get(obj, key));
+
+	return s != NULL ? s : "";
+}
+
+static unsigned num_of(const json_t *obj, const char *key)
+{
+	json_int_t n = json_integer_value(json_object_get(obj, key));
+
+	return n > 0 ? (unsigned)n : 0;
+}
+
+/* Age in us; the largest value for null, which means never heard. */
+static uint64_t age_of(const json_t *obj, const char *key)
+{
+	const json_t *v = json_object_get(obj, key);
+
+	return json_is_integer(v) ? (uint64_t)json_integer_value(v) * CS_US_PER_MS : UINT64_MAX;
+}
+
+static enum cs_member_state member_state(const char *name)
+{
+	int i;
+
+	for (i = CS_MEMBER_ALIVE; i <= CS_MEMBER_DEAD; i++) {
+		if (strcmp(cs_member_state_name((enum cs_member_state)i), name) == 0)
+			return (enum cs_member_state)i;
+	}
+	return CS_MEMBER_DEAD;
+}
+
+static void merge_member(struct cs_view *v, const json_t *e)
+{
+	struct cs_member m = {.state = member_state(text_of(e, "state"))};
+	unsigned i;
+
+	cs_copy(m.name, sizeof(m.name), text_of(e, "name"));
+	cs_copy(m.zone, sizeof(m.zone), text_of(e, "zone"));
+	cs_copy(m.addr, sizeof(m.addr), text_of(e, "addr"));
+	m.lookup_port = (uint16_t)num_of(e, "lookup_port");
+	m.proxy_port = (uint16_t)num_of(e, "proxy_port");
+	m.bus_port = (uint16_t)num_of(e, "bus_port");
+	m.admin_port = (uint16_t)num_of(e, "admin_port");
+	m.listed = json_is_true(json_object_get(e, "listed"));
+	m.ready = json_is_true(json_object_get(e, "ready"));
+	m.revision = (uint64_t)json_integer_value(json_object_get(e, "revision"));
+	m.silent_us = age_of(e, "silent_ms");
+	for (i = 0; i < v->n_members; i++) {
+		if (strcmp(v->members[i].name, m.name) != 0)
+			continue;
+		if (m.silent_us < v->members[i].silent_us)
+			v->members[i] = m;
+		return;
+	}
+	v->members = cs_xrealloc(v->members, v->n_members + 1, sizeof(m));
+	v->members[v->n_members++] = m;
+}
+
+static void merge_server(struct cs_view *v, const json_t *e)
+{
+	struct cs_server s = {.port = (uint16_t)num_of(e, "port")};
+	int st = cs_server_state_parse(text_of(e, "state"));
+	unsigned i;
+
+	cs_copy(s.name, sizeof(s.name), text_of(e, "name"));
+	cs_copy(s.service, sizeof(s.service), text_of(e, "service"));
+	cs_copy(s.zone, sizeof(s.zone), text_of(e, "zone"));
+	cs_copy(s.addr, sizeof(s.addr), text_of(e, "addr"));
+	s.state = st < 0 ? CS_SERVER_DOWN : (enum cs_server_state)st;
+	s.slots = num_of(e, "slots");
+	s.reported_in_flight = num_of(e, "in_flight");
+	s.reported_us = num_of(e, "service_us");
+	s.reported_age_us = age_of(e, "age_ms");
+	for (i = 0; i < v->n_servers; i++) {
+		if (strcmp(v->servers[i].name, s.name) != 0)
+			continue;
+		if (s.reported_age_us < v->servers[i].reported_age_us)
+			v->servers[i] = s;
+		return;
+	}
+	v->servers = cs_xrealloc(v->servers, v->n_servers + 1, sizeof(s));
+	v->servers[v->n_servers++] = s;
+}
+
+static void merge_load(struct cs_view *v, const json_t *e)
+{
+	struct cs_zone_load l = {.capacity = num_of(e, "capacity")};
+	unsigned i;
+
+	cs_copy(l.zone, sizeof(l.zone), text_of(e, "zone"));
+	cs_copy(l.service, sizeof(l.service), text_of(e, "service"));
+	l.in_flight = num_of(e, "in_flight");
+	l.waiting = num_of(e, "waiting");
+	l.foreign = num_of(e, "foreign");
+	l.service_us = num_of(e, "service_us");
+	l.out_of_target = json_is_true(json_object_get(e, "out_of_target"));
+	l.age_us = age_of(e, "age_ms");
+	for (i = 0; i < v->n_loads; i++) {
+		if (strcmp(v->loads[i].zone, l.zone) != 0 ||
+		    strcmp(v->loads[i].service, l.service) != 0)
+			continue;
+		if (l.age_us < v->loads[i].age_us)
+			v->loads[i] = l;
+		return;
+	}
+	v->loads = cs_xrealloc(v->loads, v->n_loads + 1, sizeof(l));
+	v->loads[v->n_loads++] = l;
+}
+
+static void merge_rows(struct cs_view *v, const json_t *state, const char *key,
+		       void (*merge)(struct cs_view *, const json_t *))
+{
+	json_t *e;
+	size_t i;
+
+	json_array_foreach(json_object_get(state, key), i, e)
+		merge(v, e);
+}
+
+struct cs_view *ctl_fleet_view(const struct ctl_fleet *fleet, struct cs_config *cfg)
+{
+	struct cs_view *v = cs_view_create();
+	unsigned i;
+
+	v->cfg = cs_config_ref(cfg);
+	for (i = 0; i < fleet->n; i++) {
+		const json_t *state = fleet->list[i].agent;
+
+		if (state == NULL)
+			continue;
+		merge_rows(v, state, "members", merge_member);
+		merge_rows(v, state, "servers", merge_server);
+		merge_rows(v, state, "loads", merge_load);
+	}
+	return v;
+}
+
+const struct cs_zone_load *ctl_load(const struct cs_view *v, const char *zone, const char *service)
+{
+	unsigned i;
+
+	for (i = 0; i < v->n_loads; i++) {
+		if (strcmp(v->loads[i].zone, zone) == 0 &&
+		    strcmp(v->loads[i].service, service) == 0)
+			return &v->loads[i];
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/lookupd/steer.c
@@ -0,0 +1,208 @@
+/*
+ * View, plan and rendered parts of answers. All JSON text is made once for each view, so that a
+ * lookup only joins strings.
+ */
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/lookupd/lookupd.h"
+
+#define PART "steer"
+/* Views can change with every digest; a plan is made at most this often. */
+#define PLAN_MIN_US (50 * CS_US_PER_MS)
+/* Drains move the plan with the wall clock. */
+#define PLAN_MAX_US CS_US_PER_S
+
+struct piece {
+	char *text;
+	size_t len;
+};
+
+struct steer {
+	struct cs_timers *timers;
+	struct cs_timer due;
+	struct cs_view *next; /* not in force yet */
+	struct cs_view *view;
+	struct cs_plan *plan;
+	struct piece *prefixes; /* by class */
+	struct piece *entries; /* by member */
+	uint64_t planned_us;
+	uint64_t plans;
+};
+
+static void on_due(struct cs_timer *t, void *arg);
+
+static void free_pieces(struct piece *p, unsigned n)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++)
+		free(p[i].text);
+	free(p);
+}
+
+/* Drops the plan and all that refers to the view, then the view. */
+static void drop_view(struct steer *s)
+{
+	if (s->view == NULL)
+		return;
+	cs_plan_destroy(s->plan);
+	free_pieces(s->prefixes, s->view->cfg->n_classes);
+	free_pieces(s->entries, s->view->n_members);
+	cs_view_destroy(s->view);
+	s->view = NULL;
+	s->plan = NULL;
+}
+
+struct steer *steer_create(struct cs_timers *ts)
+{
+	struct steer *s = cs_xcalloc(1, sizeof(*s));
+
+	s->timers = ts;
+	cs_timer_init(&s->due, on_due, s);
+	return s;
+}
+
+void steer_destroy(struct steer *s)
+{
+	if (s == NULL)
+		return;
+	cs_timer_stop(&s->due);
+	drop_view(s);
+	cs_view_destroy(s->next);
+	free(s);
+}
+
+/* Quoted and escaped JSON string; names of instances come from the platform's list. */
+static char *quote(const char *text)
+{
+	json_t *v = json_string(text);
+	char *out = v != NULL ? json_dumps(v, JSON_ENCODE_ANY) : NULL;
+
+	json_decref(v);
+	return out != NULL ? out : cs_xstrdup("\"\"");
+}
+
+static struct piece render_entry(const struct cs_member *m)
+{
+	char *name = quote(m->name), *zone = quote(m->zone);
+	bool v6 = strchr(m->addr, ':') != NULL;
+	struct piece p;
+
+	p.text = cs_xasprintf("{\"instance\":%s,\"zone\":%s,\"url\":\"http://%s%s%s:%u\"}", name,
+			      zone, v6 ? "[" : "", m->addr, v6 ? "]" : "", m->proxy_port);
+	p.len = strlen(p.text);
+	free(name);
+	free(zone);
+	return p;
+}
+
+static void render(struct steer *s)
+{
+	const struct cs_config *cfg = s->view->cfg;
+	unsigned i;
+
+	s->prefixes = cs_xcalloc(cfg->n_classes, sizeof(*s->prefixes));
+	for (i = 0; i < cfg->n_classes; i++) {
+		s->prefixes[i].text = cs_xasprintf("{\"class\":\"%s\",\"revision\":%" PRIu64
+						   ",\"ttl_ms\":%u,\"entries\":[",
+						   cfg->classes[i].name, cfg->revision,
+						   cfg->shift.lookup_ttl_ms);
+		s->prefixes[i].len = strlen(s->prefixes[i].text);
+	}
+	s->entries = cs_xcalloc(s->view->n_members, sizeof(*s->entries));
+	for (i = 0; i < s->view->n_members; i++)
+		s->entries[i] = render_entry(&s->view->members[i]);
+}
+
+/* Puts the waiting view into force, if there is one, and makes a plan for the present time. */
+static void make_plan(struct steer *s)
+{
+	if (s->next != NULL) {
+		drop_view(s);
+		s->view = s->next;
+		s->next = NULL;
+		render(s);
+	}
+	cs_plan_destroy(s->plan);
+	s->plan = cs_plan_create(s->view, cs_wall_ms());
+	s->planned_us = cs_mono_us();
+	s->plans++;
+	cs_timer_stop(&s->due);
+	if (s->view->cfg->n_drains > 0)
+		cs_timer_start(s->timers, &s->due, PLAN_MAX_US);
+}
+
+static void on_due(struct cs_timer *t, void *arg)
+{
+	make_plan(arg);
+}
+
+/*
+ * Keeps the configuration in force when the view has none or a lower revision: the agent may have
+ * restarted, and an accepted configuration never reverts.
+ */
+static void keep_config(const struct steer *s, struct cs_view *v)
+{
+	const struct cs_view *cur = s->next != NULL ? s->next : s->view;
+
+	if (cur == NULL)
+		return;
+	if (v->cfg != NULL && (v->cfg->revision >= cur->cfg->revision || cs_fault("revision")))
+		return;
+	cs_config_unref(v->cfg);
+	v->cfg = cs_config_ref(cur->cfg);
+}
+
+void steer_update(struct steer *s, const struct cs_view *v)
+{
+	struct cs_view *copy = cs_view_copy(v);
+	uint64_t since = cs_mono_us() - s->planned_us;
+
+	keep_config(s, copy);
+	if (copy->cfg == NULL) {
+		cs_view_destroy(copy);
+		return;
+	}
+	if (s->view == NULL || copy->cfg->revision != s->view->cfg->revision)
+		cs_log(CS_NOTICE, PART, "configuration in force. revision=%" PRIu64,
+		       copy->cfg->revision);
+	cs_view_destroy(s->next);
+	s->next = copy;
+	if (s->view == NULL || since >= PLAN_MIN_US)
+		make_plan(s);
+	else
+		cs_timer_start(s->timers, &s->due, PLAN_MIN_US - since);
+}
+
+const struct cs_view *steer_view(const struct steer *s)
+{
+	return s->view;
+}
+
+const struct cs_plan *steer_plan(const struct steer *s)
+{
+	return s->plan;
+}
+
+uint64_t steer_plans(const struct steer *s)
+{
+	return s->plans;
+}
+
+const char *steer_prefix(const struct steer *s, unsigned class_index, size_t *len)
+{
+	*len = s->prefixes[class_index].len;
+	return s->prefixes[class_index].text;
+}
+
+const char *steer_entry(const struct steer *s, const struct cs_member *m, size_t *len)
+{
+	const struct piece *p = &s->entries[m - s->view->members];
+
+	*len = p->len;
+	return p->text;
+}
