--- a/lib/policy/policy.c
+++ b/lib/policy/policy.c
@@ -233,7 +233,8 @@
 		s->headroom = cfg->services[i].headroom_pct / 100;
 		s->bulk_only = true;
 	}
-	p->by_index = cs_xrealloc(p->by_index, cfg->n_classes, sizeof(void *));
+	free(p->by_index);
+	p->by_index = cs_xcalloc(cfg->n_classes, sizeof(void *));
 	p->n_index = cfg->n_classes;
 	for (i = 0; i < cfg->n_classes; i++) {
 		c = class_get(p, cfg->classes[i].name);
@@ -290,7 +291,7 @@
 	if (s->n_targets > s->cap_open) {
 		s->cap_open = s->n_targets * 2;
 		for (k = 0; k < POOLS; k++)
-			s->open[k] = cs_xrealloc(s->open[k], s->cap_open, sizeof(*s->open[k]));
+			s->open[k] = cs_xrealloc(s->open[k], s->cap_open, sizeof(void *));
 	}
 	return t;
 }
@@ -358,6 +359,7 @@
 void cs_policy_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us)
 {
 	struct svc *s;
+	unsigned i;
 
 	if (v->cfg != NULL)
 		config_set(p, v->cfg);
@@ -366,6 +368,9 @@
 	targets_update(p, v, now_us);
 	TAILQ_FOREACH(s, &p->svcs, entry)
 		latency_report(p, s, v);
+	for (i = 0; i < v->n_members; i++)
+		if (strcmp(v->members[i].zone, p->opts.zone) == 0)
+			peer_set(p, v->members[i].name, v->members[i].roster);
 	share_update(p, v, now_us);
 	spill_update(p, v, now_us);
 }
--- a/lib/policy/policy.h
+++ b/lib/policy/policy.h
@@ -45,8 +45,8 @@
 uint64_t cs_policy_roster(const struct cs_policy *p);
 
 /*
- * Roster that a listed instance of the own zone named last on its heartbeats; 0 if unknown. Call it
- * for each member after cs_policy_update. Without it grown shares wait for the hold time.
+ * Roster that a listed instance of the own zone named last on its heartbeats; 0 if unknown. The
+ * view's members carry it; this call is for news between two views.
  */
 void cs_policy_peer_roster(struct cs_policy *p, const char *instance, uint64_t roster,
 			   uint64_t now_us);
