Add cassia-agentd with its core, mesh, store watch and health polls

The daemons need an agent that reads the configuration and the lists, polls its zone's servers and hands out views. The protocol state (configuration, members, zone rows, lists, view parts) is in a core without I/O; mesh, local, watch, health and admin connect it to the loop.

cs_member gets the roster of its proxy, which the share rule needs.

Checked by unit tests of wire, bus, link and store, and by check.d/agent-config.sh: three agents in two zones follow a change within 1 s and see a killed member as unreachable.

--- a/lib/model/model.h
+++ b/lib/model/model.h
@@ -180,6 +180,7 @@
 	uint64_t incarnation; /* boot id of its agent; 0 if never heard */
 	uint64_t revision; /* configuration revision in force there; 0 if unknown */
 	uint64_t silent_us; /* since the last message, at the time of the view */
+	uint64_t roster; /* cs_policy_roster of its proxy; 0 if unknown or of another zone */
 };
 
 enum cs_server_state { CS_SERVER_READY, CS_SERVER_STARTING, CS_SERVER_DRAINING, CS_SERVER_DOWN };
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -51,12 +51,14 @@
 
 void cs_store_destroy(struct cs_store *s)
 {
-	struct cs_store_op *op;
+	struct cs_store_op *op, *next;
 
 	if (s == NULL)
 		return;
-	while ((op = LIST_FIRST(&s->ops)) != NULL)
+	for (op = LIST_FIRST(&s->ops); op != NULL; op = next) {
+		next = LIST_NEXT(op, entry);
 		cs_store_cancel(op);
+	}
 	free(s->base);
 	free(s->source);
 	free(s);
--- a/lib/wire/message.c
+++ b/lib/wire/message.c
@@ -41,28 +41,13 @@
 /* Elements after version and type. */
 static unsigned fields_of(enum cs_wire_type type)
 {
-	switch (type) {
-	case CS_WIRE_HEARTBEAT:
-		return 11;
-	case CS_WIRE_DIGEST:
-		return 6;
-	case CS_WIRE_CONFIG_GET:
-		return 2;
-	case CS_WIRE_CONFIG_DOC:
-		return 2;
-	case CS_WIRE_REPORT:
-		return 10;
-	case CS_WIRE_SNAPSHOT:
-		return 10;
-	case CS_WIRE_LIST_GET:
-		return 3;
-	case CS_WIRE_LIST_DOC:
-		return 5;
-	case CS_WIRE_LOAN_ASK:
-	case CS_WIRE_LOAN_GRANT:
-		return 5;
-	}
-	return 0;
+	static const unsigned fields[] = {
+		[CS_WIRE_HEARTBEAT] = 12, [CS_WIRE_DIGEST] = 6,	  [CS_WIRE_CONFIG_GET] = 2,
+		[CS_WIRE_CONFIG_DOC] = 2, [CS_WIRE_REPORT] = 10,  [CS_WIRE_SNAPSHOT] = 10,
+		[CS_WIRE_LIST_GET] = 3,	  [CS_WIRE_LIST_DOC] = 5, [CS_WIRE_LOAN_ASK] = 5,
+		[CS_WIRE_LOAN_GRANT] = 5};
+
+	return fields[type];
 }
 
 void pack_load(msgpack_packer *pk, const struct cs_report_load *l)
@@ -114,6 +99,7 @@
 	msgpack_pack_uint64(pk, h->lists);
 	put_bool(pk, h->ready);
 	put_bool(pk, h->leaving);
+	put_bool(pk, h->store_ok);
 	msgpack_pack_uint64(pk, h->roster);
 	msgpack_pack_array(pk, h->n_loads);
 	for (i = 0; i < h->n_loads; i++)
@@ -131,6 +117,7 @@
 	h->lists = read_u64(r);
 	h->ready = read_bool(r);
 	h->leaving = read_bool(r);
+	h->store_ok = read_bool(r);
 	h->roster = read_u64(r);
 	parse_loads(r, &h->loads, &h->n_loads);
 }
--- a/lib/wire/view.c
+++ b/lib/wire/view.c
@@ -63,7 +63,7 @@
 	msgpack_pack_array(pk, v->n_members);
 	for (i = 0; i < v->n_members; i++) {
 		m = &v->members[i];
-		msgpack_pack_array(pk, 13);
+		msgpack_pack_array(pk, 14);
 		put_str(pk, m->name);
 		put_str(pk, m->zone);
 		put_str(pk, m->addr);
@@ -77,6 +77,7 @@
 		msgpack_pack_uint64(pk, m->incarnation);
 		msgpack_pack_uint64(pk, m->revision);
 		msgpack_pack_uint64(pk, m->silent_us);
+		msgpack_pack_uint64(pk, m->roster);
 	}
 }
 
@@ -104,6 +105,7 @@
 		m->incarnation = read_u64(&row);
 		m->revision = read_u64(&row);
 		m->silent_us = read_u64(&row);
+		m->roster = read_u64(&row);
 	}
 }
 
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -42,6 +42,7 @@
 	uint64_t lists; /* version of the lists held; see cs_wire_list */
 	bool ready; /* its proxy takes requests */
 	bool leaving; /* planned stop has begun */
+	bool store_ok; /* a watcher whose store answers */
 	uint64_t roster; /* of its proxy; see cs_policy_roster */
 	const struct cs_report_load *loads;
 	unsigned n_loads;
@@ -70,13 +71,13 @@
 	const char *origin; /* relay that made the row */
 	struct cs_wire_stamp stamp; /* of the row, by its origin */
 	uint64_t content; /* version of loads and exceptions, by the origin */
-	unsigned age_ms; /* since the origin made it */
 	uint64_t revision; /* lowest in the zone */
-	bool brief;
 	const struct cs_wire_zone_load *loads;
-	unsigned n_loads;
 	const struct cs_wire_exception *exceptions;
+	unsigned n_loads;
 	unsigned n_exceptions;
+	unsigned age_ms; /* since the origin made it */
+	bool brief;
 };
 
 struct cs_wire_digest {
--- /dev/null
+++ b/src/agentd/core-lists.c
@@ -0,0 +1,313 @@
+/*
+ * Core: the platform's lists. Watchers read them from the store and pass changes on; others take
+ * them from a watcher. A list stays as it is while the store is away.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "core-int.h"
+
+void list_free(struct list *l)
+{
+	free(l->entries);
+	free(l);
+}
+
+uint64_t lists_version(const struct core *c)
+{
+	const struct list *l;
+	uint64_t sum = 0;
+
+	LIST_FOREACH(l, &c->lists, next)
+		sum += l->version;
+	return sum;
+}
+
+static struct list *list_get(struct core *c, const char *service)
+{
+	struct list *l;
+
+	LIST_FOREACH(l, &c->lists, next)
+		if (strcmp(l->service, service) == 0)
+			return l;
+	l = cs_xcalloc(1, sizeof(*l));
+	cs_copy(l->service, sizeof(l->service), service);
+	LIST_INSERT_HEAD(&c->lists, l, next);
+	return l;
+}
+
+static int entry_cmp(const void *a, const void *b)
+{
+	const struct list_entry *x = a, *y = b;
+
+	return strcmp(x->id, y->id);
+}
+
+static struct list_entry *entry_find(const struct list *l, const char *id)
+{
+	struct list_entry key = {0};
+
+	if (l->n == 0)
+		return NULL;
+	cs_copy(key.id, sizeof(key.id), id);
+	return bsearch(&key, l->entries, l->n, sizeof(key), entry_cmp);
+}
+
+static bool entry_same(const struct list_entry *a, const struct list_entry *b)
+{
+	return strcmp(a->id, b->id) == 0 && strcmp(a->zone, b->zone) == 0 &&
+	       strcmp(a->addr, b->addr) == 0 && a->port == b->port &&
+	       a->lookup_port == b->lookup_port && a->proxy_port == b->proxy_port &&
+	       a->bus_port == b->bus_port && a->admin_port == b->admin_port &&
+	       a->leaving == b->leaving;
+}
+
+static void entry_from_wire(struct list_entry *e, const struct cs_wire_entry *w)
+{
+	memset(e, 0, sizeof(*e));
+	cs_copy(e->id, sizeof(e->id), w->id);
+	cs_copy(e->zone, sizeof(e->zone), w->zone);
+	cs_copy(e->addr, sizeof(e->addr), w->addr);
+	e->port = w->port;
+	e->lookup_port = w->lookup_port;
+	e->proxy_port = w->proxy_port;
+	e->bus_port = w->bus_port;
+	e->admin_port = w->admin_port;
+	e->leaving = w->leaving;
+}
+
+static void entry_to_wire(struct cs_wire_entry *w, const struct list_entry *e)
+{
+	w->id = e->id;
+	w->zone = e->zone;
+	w->addr = e->addr;
+	w->port = e->port;
+	w->lookup_port = e->lookup_port;
+	w->proxy_port = e->proxy_port;
+	w->bus_port = e->bus_port;
+	w->admin_port = e->admin_port;
+	w->leaving = e->leaving;
+}
+
+/* Takes the list of the own instances over into the members. */
+static void apply_members(struct core *c, const struct list *l, uint64_t now_us)
+{
+	const struct list_entry *e;
+	struct member *m;
+	unsigned i;
+
+	for (m = member_first(c); m != NULL; m = member_next(m))
+		m->listed = false;
+	for (i = 0; i < l->n; i++) {
+		e = &l->entries[i];
+		m = member_get(c, e->id, e->zone, now_us);
+		if (strcmp(m->zone, e->zone) != 0) {
+			if (m == c->self)
+				continue;
+			member_free(c, m);
+			m = member_get(c, e->id, e->zone, now_us);
+		}
+		m->listed = true;
+		m->list_leaving = e->leaving;
+		cs_copy(m->addr, sizeof(m->addr), e->addr);
+		m->lookup_port = e->lookup_port;
+		m->proxy_port = e->proxy_port;
+		m->bus_port = e->bus_port;
+		m->admin_port = e->admin_port;
+	}
+	members_tick(c, now_us);
+	view_members_changed(c);
+	c->heartbeat_now = true;
+	c->digest_now = true;
+}
+
+/* Takes the list of a service's servers in the own zone over. */
+static void apply_servers(struct core *c, const struct list *l)
+{
+	const struct list_entry *e;
+	struct server *s, *next;
+	unsigned i;
+
+	for (s = server_first(c); s != NULL; s = server_next(s))
+		s->seen = strcmp(s->service, l->service) != 0;
+	for (i = 0; i < l->n; i++) {
+		e = &l->entries[i];
+		if (strcmp(e->zone, c->opts.zone) != 0)
+			continue;
+		s = server_get(c, e->id);
+		cs_copy(s->service, sizeof(s->service), l->service);
+		cs_copy(s->zone, sizeof(s->zone), e->zone);
+		cs_copy(s->addr, sizeof(s->addr), e->addr);
+		s->port = e->port;
+		s->list_leaving = e->leaving;
+		s->seen = true;
+	}
+	for (s = server_first(c); s != NULL; s = next) {
+		next = server_next(s);
+		if (!s->seen)
+			server_free(c, s);
+	}
+	view_servers_changed(c);
+}
+
+static void apply(struct core *c, const struct list *l, uint64_t now_us)
+{
+	if (strcmp(l->service, CORE_SELF_LIST) == 0)
+		apply_members(c, l, now_us);
+	else
+		apply_servers(c, l);
+}
+
+/* Sends a list to one peer, whole. */
+static void send_whole(struct core *c, const struct core_origin *to, const struct list *l)
+{
+	struct cs_wire_msg m = {.type = CS_WIRE_LIST_DOC};
+	struct cs_wire_entry *w = cs_xcalloc(l->n, sizeof(*w));
+	unsigned i;
+
+	for (i = 0; i < l->n; i++)
+		entry_to_wire(&w[i], &l->entries[i]);
+	m.u.list_doc.service = l->service;
+	m.u.list_doc.version = l->version;
+	m.u.list_doc.entries = w;
+	m.u.list_doc.n_entries = l->n;
+	core_post(c, to, &m);
+	free(w);
+}
+
+/* Passes the difference between two versions of a list on to the own zone. */
+static void send_change(struct core *c, const struct list *old, const struct list *l)
+{
+	struct cs_wire_msg m = {.type = CS_WIRE_LIST_DOC};
+	struct cs_wire_entry *w = cs_xcalloc(l->n, sizeof(*w));
+	const char **removed = cs_xcalloc(old->n, sizeof(*removed));
+	const struct list_entry *had;
+	struct member *peer;
+	unsigned i, n = 0, gone = 0;
+
+	for (i = 0; i < l->n; i++) {
+		had = entry_find(old, l->entries[i].id);
+		if (had == NULL || !entry_same(had, &l->entries[i]))
+			entry_to_wire(&w[n++], &l->entries[i]);
+	}
+	for (i = 0; i < old->n; i++)
+		if (entry_find(l, old->entries[i].id) == NULL)
+			removed[gone++] = old->entries[i].id;
+	m.u.list_doc.service = l->service;
+	m.u.list_doc.version = l->version;
+	m.u.list_doc.base = old->version;
+	m.u.list_doc.entries = w;
+	m.u.list_doc.n_entries = n;
+	m.u.list_doc.removed = removed;
+	m.u.list_doc.n_removed = gone;
+	for (peer = member_first(c); peer != NULL; peer = member_next(peer))
+		if (peer->here && peer != c->self)
+			core_post_member(c, peer, &m);
+	free(w);
+	free(removed);
+}
+
+void core_list_read(struct core *c, const struct cs_wire_list_doc *doc, uint64_t now_us)
+{
+	struct list *l = list_get(c, doc->service), old = *l;
+	struct list_entry *e = cs_xcalloc(doc->n_entries, sizeof(*e));
+	unsigned i;
+	bool same;
+
+	for (i = 0; i < doc->n_entries; i++)
+		entry_from_wire(&e[i], &doc->entries[i]);
+	qsort(e, doc->n_entries, sizeof(*e), entry_cmp);
+	same = l->version != 0 && l->n == doc->n_entries;
+	for (i = 0; same && i < l->n; i++)
+		same = entry_same(&l->entries[i], &e[i]);
+	if (same && doc->version == l->version) {
+		free(e);
+		return;
+	}
+	l->entries = e;
+	l->n = doc->n_entries;
+	/* A store that lost its state counts from the start again; versions here only grow. */
+	l->version = doc->version > old.version ? doc->version : old.version + 1;
+	if (!same)
+		apply(c, l, now_us);
+	/* After a start the others have the list or read it; they ask if they are behind. */
+	if (c->rank == 0 && old.version != 0)
+		send_change(c, &old, l);
+	free(old.entries);
+}
+
+/* Applies a change of the list at its base; false if another version is held. */
+static bool merge(struct list *l, const struct cs_wire_list_doc *doc)
+{
+	struct list_entry *e, *had;
+	unsigned i, n = 0;
+
+	if (doc->base != l->version)
+		return false;
+	e = cs_xcalloc(l->n + doc->n_entries, sizeof(*e));
+	for (i = 0; i < doc->n_removed; i++) {
+		had = entry_find(l, doc->removed[i]);
+		if (had != NULL)
+			had->zone[0] = '\0'; /* marks it; an entry always names a zone */
+	}
+	for (i = 0; i < doc->n_entries; i++) {
+		had = entry_find(l, doc->entries[i].id);
+		if (had != NULL)
+			had->zone[0] = '\0';
+	}
+	for (i = 0; i < l->n; i++)
+		if (l->entries[i].zone[0] != '\0')
+			e[n++] = l->entries[i];
+	for (i = 0; i < doc->n_entries; i++)
+		entry_from_wire(&e[n++], &doc->entries[i]);
+	free(l->entries);
+	l->entries = e;
+	l->n = n;
+	return true;
+}
+
+/* Replaces the list as a whole. */
+static void replace(struct list *l, const struct cs_wire_list_doc *doc)
+{
+	unsigned i;
+
+	free(l->entries);
+	l->entries = cs_xcalloc(doc->n_entries, sizeof(*l->entries));
+	l->n = doc->n_entries;
+	for (i = 0; i < doc->n_entries; i++)
+		entry_from_wire(&l->entries[i], &doc->entries[i]);
+}
+
+void lists_doc(struct core *c, const struct core_origin *from, const struct cs_wire_list_doc *doc,
+	       uint64_t now_us)
+{
+	struct cs_wire_msg m = {.type = CS_WIRE_LIST_GET};
+	struct list *l;
+
+	if (*doc->service == '\0')
+		return;
+	l = list_get(c, doc->service);
+	if (doc->version <= l->version)
+		return;
+	if (doc->base == 0) {
+		replace(l, doc);
+	} else if (!merge(l, doc)) {
+		m.u.list_get.instance = c->opts.instance;
+		m.u.list_get.service = doc->service;
+		m.u.list_get.version = l->version;
+		core_post(c, from, &m);
+		return;
+	}
+	qsort(l->entries, l->n, sizeof(*l->entries), entry_cmp);
+	l->version = doc->version;
+	apply(c, l, now_us);
+}
+
+void lists_get(struct core *c, const struct core_origin *from, const struct cs_wire_list_get *g)
+{
+	const struct list *l;
+
+	LIST_FOREACH(l, &c->lists, next)
+		if (l->version != 0 && (*g->service == '\0' || strcmp(g->service, l->service) == 0))
+			send_whole(c, from, l);
+}
--- /dev/null
+++ b/src/agentd/core-view.c
@@ -0,0 +1,184 @@
+/* Core: the view for the daemons and the parts of it that a daemon lacks. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "core-int.h"
+
+void view_members_changed(struct core *c)
+{
+	c->members_seq = ++c->view_seq;
+}
+
+void view_servers_changed(struct core *c)
+{
+	c->servers_seq = ++c->view_seq;
+}
+
+void view_loads_changed(struct core *c)
+{
+	c->loads_seq = ++c->view_seq;
+}
+
+uint64_t core_sequence(const struct core *c)
+{
+	return c->view_seq;
+}
+
+static uint64_t since(uint64_t then, uint64_t now_us)
+{
+	return now_us > then ? now_us - then : 0;
+}
+
+static void view_members(struct core *c, struct cs_view *v, uint64_t now_us)
+{
+	struct cs_member *out;
+	struct member *m;
+	unsigned n = 0;
+
+	for (m = member_first(c); m != NULL; m = member_next(m))
+		n++;
+	v->members = cs_xcalloc(n, sizeof(*v->members));
+	v->n_members = n;
+	out = v->members;
+	for (m = member_first(c); m != NULL; m = member_next(m), out++) {
+		cs_copy(out->name, sizeof(out->name), m->name);
+		cs_copy(out->zone, sizeof(out->zone), m->zone);
+		cs_copy(out->addr, sizeof(out->addr), m->addr);
+		out->lookup_port = m->lookup_port;
+		out->proxy_port = m->proxy_port;
+		out->bus_port = m->bus_port;
+		out->admin_port = m->admin_port;
+		out->state = m->state;
+		out->listed = m->listed;
+		out->ready = m->shown_ready;
+		out->incarnation = m->incarnation;
+		out->revision = m->here ? m->revision : m->row->revision;
+		out->silent_us = since(m->here ? m->heard_us : m->row->heard_us, now_us);
+		out->roster = m->roster;
+	}
+}
+
+static void view_servers(struct core *c, struct cs_view *v, uint64_t now_us)
+{
+	struct cs_server *out;
+	struct server *s;
+
+	v->n_servers = core_n_servers(c);
+	v->servers = cs_xcalloc(v->n_servers, sizeof(*v->servers));
+	out = v->servers;
+	for (s = server_first(c); s != NULL; s = server_next(s), out++) {
+		cs_copy(out->name, sizeof(out->name), s->name);
+		cs_copy(out->service, sizeof(out->service), s->service);
+		cs_copy(out->zone, sizeof(out->zone), s->zone);
+		cs_copy(out->addr, sizeof(out->addr), s->addr);
+		out->port = s->port;
+		out->state = s->list_leaving ? CS_SERVER_DRAINING : s->state;
+		out->slots = s->slots;
+		out->reported_in_flight = s->in_flight;
+		out->reported_us = s->service_us;
+		out->reported_age_us = s->reported_us ? since(s->reported_us, now_us) : UINT64_MAX;
+	}
+}
+
+static void view_loads(struct core *c, struct cs_view *v, uint64_t now_us)
+{
+	struct cs_zone_load *out;
+	struct zone_row *z;
+	unsigned i, n = 0;
+
+	for (z = zone_first(c); z != NULL; z = zone_next(z))
+		n += z->n_loads;
+	v->loads = cs_xcalloc(n, sizeof(*v->loads));
+	v->n_loads = n;
+	out = v->loads;
+	for (z = zone_first(c); z != NULL; z = zone_next(z)) {
+		for (i = 0; i < z->n_loads; i++, out++) {
+			*out = z->loads[i];
+			out->age_us = since(z->heard_us, now_us);
+		}
+	}
+}
+
+struct cs_view *core_view(struct core *c, uint64_t now_us)
+{
+	struct cs_view *v = cs_view_create();
+
+	v->incarnation = c->opts.incarnation;
+	v->sequence = c->view_seq;
+	v->store_ok = c->store_shown;
+	if (c->cfg != NULL)
+		v->cfg = cs_config_ref(c->cfg);
+	view_members(c, v, now_us);
+	view_servers(c, v, now_us);
+	view_loads(c, v, now_us);
+	return v;
+}
+
+bool core_snapshot(struct core *c, const struct cs_wire_stamp *held, uint64_t now_us,
+		   struct cs_wire_buf *out)
+{
+	uint64_t base = held->incarnation == c->opts.incarnation ? held->sequence : 0;
+	struct cs_wire_msg m = {.type = CS_WIRE_SNAPSHOT};
+	struct cs_wire_snapshot *s = &m.u.snapshot;
+
+	if (base >= c->view_seq)
+		return false;
+	s->base = base;
+	s->view = cs_view_create();
+	s->view->incarnation = c->opts.incarnation;
+	s->view->sequence = c->view_seq;
+	s->view->store_ok = c->store_shown;
+	s->has_config = c->cfg != NULL && c->config_seq > base;
+	s->has_members = c->members_seq > base || base == 0;
+	s->has_servers = c->servers_seq > base || base == 0;
+	s->has_loads = c->loads_seq > base || base == 0;
+	if (s->has_config)
+		s->view->cfg = cs_config_ref(c->cfg);
+	if (s->has_members)
+		view_members(c, s->view, now_us);
+	if (s->has_servers)
+		view_servers(c, s->view, now_us);
+	if (s->has_loads)
+		view_loads(c, s->view, now_us);
+	cs_wire_pack(out, &m);
+	cs_view_destroy(s->view);
+	return true;
+}
+
+void core_server(struct core *c, const char *name, enum cs_server_state st, unsigned slots,
+		 unsigned in_flight, unsigned service_us, uint64_t now_us)
+{
+	struct server *s = server_find(c, name);
+
+	if (s == NULL)
+		return;
+	if (!s->polled || s->state != st || s->slots != slots || s->in_flight != in_flight ||
+	    s->service_us != service_us)
+		view_servers_changed(c);
+	s->polled = true;
+	s->state = st;
+	if (st == CS_SERVER_DOWN)
+		return;
+	s->slots = slots;
+	s->in_flight = in_flight;
+	s->service_us = service_us;
+	s->reported_us = now_us;
+}
+
+unsigned core_n_servers(const struct core *c)
+{
+	struct server *s;
+	unsigned n = 0;
+
+	for (s = server_first((struct core *)(uintptr_t)c); s != NULL; s = server_next(s))
+		n++;
+	return n;
+}
+
+void core_each_server(struct core *c, core_server_cb cb, void *arg)
+{
+	struct server *s;
+
+	for (s = server_first(c); s != NULL; s = server_next(s))
+		cb(s->name, s->addr, s->port, arg);
+}
--- /dev/null
+++ b/src/agentd/core.c
@@ -0,0 +1,394 @@
+/* Core: life cycle, dispatch of events, trees, queue of messages. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "core-int.h"
+
+static int member_cmp(struct member *a, struct member *b);
+static int server_cmp(struct server *a, struct server *b);
+static int zone_cmp(struct zone_row *a, struct zone_row *b);
+
+CS_RB_GENERATE(member_tree, member, entry, member_cmp)
+CS_RB_GENERATE(server_tree, server, entry, server_cmp)
+CS_RB_GENERATE(zone_tree, zone_row, entry, zone_cmp)
+
+static int member_cmp(struct member *a, struct member *b)
+{
+	return strcmp(a->name, b->name);
+}
+
+static int server_cmp(struct server *a, struct server *b)
+{
+	return strcmp(a->name, b->name);
+}
+
+static int zone_cmp(struct zone_row *a, struct zone_row *b)
+{
+	return strcmp(a->zone, b->zone);
+}
+
+struct core *core_create(const struct core_opts *opts, uint64_t now_us)
+{
+	struct core *c = cs_xcalloc(1, sizeof(*c));
+
+	c->opts = *opts;
+	c->peers = cs_xcalloc(opts->n_peers, sizeof(*c->peers));
+	if (opts->n_peers > 0)
+		memcpy(c->peers, opts->peers, opts->n_peers * sizeof(*c->peers));
+	c->opts.peers = c->peers;
+	cs_rng_seed(&c->rng, opts->seed);
+	RB_INIT(&c->members);
+	RB_INIT(&c->servers);
+	RB_INIT(&c->zones);
+	LIST_INIT(&c->lists);
+	TAILQ_INIT(&c->sends);
+	c->view_seq = 1;
+	c->self = member_get(c, opts->instance, opts->zone, now_us);
+	c->self->incarnation = opts->incarnation;
+	c->heartbeat_now = true;
+	return c;
+}
+
+void core_destroy(struct core *c)
+{
+	struct core_send *s;
+	struct member *m;
+	struct server *sv;
+	struct zone_row *z;
+	struct list *l;
+
+	if (c == NULL)
+		return;
+	while ((s = core_next_send(c)) != NULL)
+		core_send_free(s);
+	while ((m = member_first(c)) != NULL)
+		member_free(c, m);
+	while ((sv = server_first(c)) != NULL)
+		server_free(c, sv);
+	while ((z = zone_first(c)) != NULL)
+		zone_free(c, z);
+	while ((l = LIST_FIRST(&c->lists)) != NULL) {
+		LIST_REMOVE(l, next);
+		list_free(l);
+	}
+	free(c->daemons[0].loads);
+	free(c->daemons[1].loads);
+	cs_config_unref(c->cfg);
+	cs_wire_buf_free(&c->scratch);
+	free(c->peers);
+	free(c);
+}
+
+struct member *member_find(struct core *c, const char *name)
+{
+	struct member key;
+
+	cs_copy(key.name, sizeof(key.name), name);
+	return RB_FIND(member_tree, &c->members, &key);
+}
+
+struct member *member_get(struct core *c, const char *name, const char *zone, uint64_t now_us)
+{
+	struct member *m = member_find(c, name);
+
+	if (m != NULL)
+		return m;
+	m = cs_xcalloc(1, sizeof(*m));
+	cs_copy(m->name, sizeof(m->name), name);
+	cs_copy(m->zone, sizeof(m->zone), zone);
+	m->here = strcmp(zone, c->opts.zone) == 0;
+	m->row = zone_get(c, zone);
+	m->state = CS_MEMBER_SUSPECT;
+	m->heard_us = now_us;
+	RB_INSERT(member_tree, &c->members, m);
+	return m;
+}
+
+void member_free(struct core *c, struct member *m)
+{
+	RB_REMOVE(member_tree, &c->members, m);
+	free(m->loads);
+	free(m);
+}
+
+struct member *member_first(struct core *c)
+{
+	return RB_MIN(member_tree, &c->members);
+}
+
+struct member *member_next(struct member *m)
+{
+	return RB_NEXT(member_tree, NULL, m);
+}
+
+struct server *server_find(struct core *c, const char *name)
+{
+	struct server key;
+
+	cs_copy(key.name, sizeof(key.name), name);
+	return RB_FIND(server_tree, &c->servers, &key);
+}
+
+struct server *server_get(struct core *c, const char *name)
+{
+	struct server *s = server_find(c, name);
+
+	if (s != NULL)
+		return s;
+	s = cs_xcalloc(1, sizeof(*s));
+	cs_copy(s->name, sizeof(s->name), name);
+	s->state = CS_SERVER_STARTING;
+	RB_INSERT(server_tree, &c->servers, s);
+	return s;
+}
+
+void server_free(struct core *c, struct server *s)
+{
+	RB_REMOVE(server_tree, &c->servers, s);
+	free(s);
+}
+
+struct server *server_first(struct core *c)
+{
+	return RB_MIN(server_tree, &c->servers);
+}
+
+struct server *server_next(struct server *s)
+{
+	return RB_NEXT(server_tree, NULL, s);
+}
+
+struct zone_row *zone_find(struct core *c, const char *zone)
+{
+	struct zone_row key;
+
+	cs_copy(key.zone, sizeof(key.zone), zone);
+	return RB_FIND(zone_tree, &c->zones, &key);
+}
+
+struct zone_row *zone_get(struct core *c, const char *zone)
+{
+	struct zone_row *z = zone_find(c, zone);
+
+	if (z != NULL)
+		return z;
+	z = cs_xcalloc(1, sizeof(*z));
+	cs_copy(z->zone, sizeof(z->zone), zone);
+	RB_INSERT(zone_tree, &c->zones, z);
+	return z;
+}
+
+void zone_free(struct core *c, struct zone_row *z)
+{
+	RB_REMOVE(zone_tree, &c->zones, z);
+	free(z->loads);
+	free(z->sent);
+	free(z->exceptions);
+	free(z);
+}
+
+struct zone_row *zone_first(struct core *c)
+{
+	return RB_MIN(zone_tree, &c->zones);
+}
+
+struct zone_row *zone_next(struct zone_row *z)
+{
+	return RB_NEXT(zone_tree, NULL, z);
+}
+
+void core_post(struct core *c, const struct core_origin *to, const struct cs_wire_msg *m)
+{
+	struct core_send *s = cs_xcalloc(1, sizeof(*s));
+
+	s->to = *to;
+	s->type = m->type;
+	cs_wire_pack(&s->buf, m);
+	c->stats.sends[m->type]++;
+	c->stats.send_bytes[m->type] += s->buf.len;
+	TAILQ_INSERT_TAIL(&c->sends, s, entry);
+}
+
+void core_post_member(struct core *c, const struct member *m, const struct cs_wire_msg *msg)
+{
+	struct core_origin to = {.port = m->bus_port};
+
+	if (m->bus_port == 0)
+		return;
+	cs_copy(to.addr, sizeof(to.addr), m->addr);
+	core_post(c, &to, msg);
+}
+
+struct core_send *core_next_send(struct core *c)
+{
+	struct core_send *s = TAILQ_FIRST(&c->sends);
+
+	if (s != NULL)
+		TAILQ_REMOVE(&c->sends, s, entry);
+	return s;
+}
+
+void core_send_free(struct core_send *s)
+{
+	if (s == NULL)
+		return;
+	cs_wire_buf_free(&s->buf);
+	free(s);
+}
+
+void core_message(struct core *c, const struct core_origin *from, const struct cs_wire_msg *m,
+		  uint64_t now_us)
+{
+	struct cs_msg msg;
+
+	switch (m->type) {
+	case CS_WIRE_HEARTBEAT:
+		members_heartbeat(c, from, &m->u.heartbeat, now_us);
+		break;
+	case CS_WIRE_DIGEST:
+		digest_take(c, from, &m->u.digest, now_us);
+		config_seen(c, from, m->u.digest.revision, now_us);
+		break;
+	case CS_WIRE_CONFIG_GET: {
+		struct cs_wire_msg out = {.type = CS_WIRE_CONFIG_DOC};
+
+		if (c->cfg == NULL || c->cfg->revision <= m->u.config_get.revision)
+			break;
+		out.u.config_doc.revision = c->cfg->revision;
+		out.u.config_doc.text = c->cfg->text;
+		out.u.config_doc.len = c->cfg->text_len;
+		core_post(c, from, &out);
+		break;
+	}
+	case CS_WIRE_CONFIG_DOC:
+		core_config(c, m->u.config_doc.text, m->u.config_doc.len, now_us, &msg);
+		break;
+	case CS_WIRE_LIST_GET:
+		if (!digest_get(c, from, &m->u.list_get, now_us))
+			lists_get(c, from, &m->u.list_get);
+		break;
+	case CS_WIRE_LIST_DOC:
+		lists_doc(c, from, &m->u.list_doc, now_us);
+		break;
+	case CS_WIRE_REPORT:
+	case CS_WIRE_SNAPSHOT:
+	case CS_WIRE_LOAN_ASK:
+	case CS_WIRE_LOAN_GRANT:
+		break;
+	}
+}
+
+/* True if a daemon reported lately. */
+static bool daemon_lives(const struct daemon *d, uint64_t now_us)
+{
+	return d->heard_us != 0 && now_us - d->heard_us <= CORE_REPORT_LIMIT_US;
+}
+
+/* Carries the proxy's state over to the own member row and decides on an early heartbeat. */
+static void self_update(struct core *c, uint64_t now_us)
+{
+	const struct daemon *proxy = &c->daemons[CS_LINK_PROXY];
+	const struct daemon *lookup = &c->daemons[CS_LINK_LOOKUP];
+	bool alive = daemon_lives(proxy, now_us);
+	bool ready = alive && proxy->ready && !c->leaving && c->cfg != NULL;
+	bool leaving = c->leaving || (alive && proxy->stopping) ||
+		       (daemon_lives(lookup, now_us) && lookup->stopping);
+	uint64_t roster = alive ? proxy->roster : 0;
+
+	if (c->self->ready != ready || c->self->leaving != leaving || c->self->roster != roster) {
+		c->heartbeat_now = true;
+		view_members_changed(c);
+	}
+	c->self->ready = ready;
+	c->self->leaving = leaving;
+	c->self->roster = roster;
+	c->self->heard_us = now_us;
+	c->self->revision = c->cfg ? c->cfg->revision : 0;
+}
+
+bool core_report(struct core *c, const struct cs_wire_report *r, uint64_t now_us)
+{
+	struct daemon *d = &c->daemons[r->body.kind];
+
+	if (r->started < d->started)
+		return false;
+	d->started = r->started;
+	d->heard_us = now_us;
+	d->ready = r->body.ready;
+	d->stopping = r->body.stopping;
+	d->roster = r->body.roster;
+	d->revision = r->body.revision;
+	free(d->loads);
+	d->n_loads = r->body.n_loads;
+	d->loads = cs_xcalloc(d->n_loads, sizeof(*d->loads));
+	if (d->n_loads > 0)
+		memcpy(d->loads, r->body.loads, d->n_loads * sizeof(*d->loads));
+	c->loads_dirty = true;
+	self_update(c, now_us);
+	return true;
+}
+
+void core_store_state(struct core *c, bool ok)
+{
+	if (c->store_ok == ok)
+		return;
+	c->store_ok = ok;
+	if (ok)
+		c->stale = false;
+	c->heartbeat_now = true;
+}
+
+void core_tick(struct core *c, uint64_t now_us)
+{
+	if (!daemon_lives(&c->daemons[CS_LINK_PROXY], now_us))
+		c->daemons[CS_LINK_PROXY].n_loads = 0;
+	self_update(c, now_us);
+	members_tick(c, now_us);
+	if (c->heartbeat_now || now_us >= c->heartbeat_due_us)
+		members_send_heartbeats(c, now_us);
+	digest_tick(c, now_us);
+}
+
+void core_resume(struct core *c, uint64_t now_us)
+{
+	struct member *m;
+
+	c->stale = true;
+	for (m = member_first(c); m != NULL; m = member_next(m))
+		if (m->here && m->state <= CS_MEMBER_SUSPECT)
+			m->heard_us = now_us;
+	c->heartbeat_now = true;
+	c->view_seq++;
+}
+
+void core_leave(struct core *c, uint64_t now_us)
+{
+	c->leaving = true;
+	self_update(c, now_us);
+	members_send_heartbeats(c, now_us);
+}
+
+bool core_is_watcher(const struct core *c)
+{
+	return c->rank < CORE_RELAYS;
+}
+
+struct cs_config *core_current(const struct core *c)
+{
+	return c->cfg;
+}
+
+bool core_ready(const struct core *c)
+{
+	return c->cfg != NULL && !c->leaving;
+}
+
+bool core_stale(const struct core *c)
+{
+	return c->stale;
+}
+
+const struct core_stats *core_stats(const struct core *c)
+{
+	return &c->stats;
+}
