Run clang-tidy on one file at a time

With several files in one run, clang-tidy 14 reports vsnprintf in lib/base/log.c as called with an uninitialized va_list whenever another file comes before it; alone the same file is clean (clang-tidy log.c: none; clang-tidy metrics.c log.c: one error).

--- a/tests/run/lint.sh
+++ b/tests/run/lint.sh
@@ -11,7 +11,7 @@
 clang-format --dry-run -Werror $files || rc=1
 flags="-std=gnu11 -D_GNU_SOURCE -DCS_VERSION=\"0\" -DCS_FAULTS=0 -Ilib -I. $(pkg-config --cflags libzmq libmicrohttpd libcurl glib-2.0 jansson msgpack libxxhash libbsd libsodium)"
 # shellcheck disable=SC2086
-echo "$srcs" | xargs -P "${LINT_JOBS:-6}" -n 4 sh -c 'f=$0; clang-tidy --quiet "$f" "$@" -- '"$(printf '%q ' $flags)"' 2>/dev/null' >"$log" 2>&1 || rc=1
+echo "$srcs" | xargs -P "${LINT_JOBS:-6}" -n 1 sh -c 'f=$0; clang-tidy --quiet "$f" "$@" -- '"$(printf '%q ' $flags)"' 2>/dev/null' >"$log" 2>&1 || rc=1
 grep -E 'error:|warning:' "$log"
 # shellcheck disable=SC2086
 cppcheck --quiet --std=c11 --enable=warning,performance,portability --inline-suppr --error-exitcode=1 \
