Answer before the end of the body, check reused connections, send repeats their first answer

Cause: a hand run showed three faults. A stray second answer on an idle connection reached the next caller, because libcurl takes a connection with waiting input again. An error during an upload was sent only after the whole body. A slow body got no answer at all, since MHD waits for the body.

Ruled out: CURLINFO_ACTIVESOCKET in the pre-request callback; it does not yet name the connection then.

Change: connections are registered by addresses and ports, and one with input is not used. Small replies are written directly while the body still comes, and a duplicate descriptor reads the rest so that the kernel does not reset the connection.

--- a/src/proxyd/attempt.c
+++ b/src/proxyd/attempt.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "src/proxyd/proxyd.h"
 
@@ -23,6 +24,7 @@
 static size_t on_read(char *out, size_t size, size_t n, void *arg);
 static int on_prereq(void *arg, char *dst, char *src, int dst_port, int src_port);
 static int on_socket(void *arg, curl_socket_t fd, curlsocktype purpose);
+static int on_close(void *arg, curl_socket_t fd);
 static void on_done(CURL *easy, CURLcode code, void *arg);
 
 /* Options that stay for the life of a handle. */
@@ -45,10 +47,10 @@
 	curl_easy_setopt(e, CURLOPT_READDATA, att);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, att);
-	if (p->bind_source) {
-		curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
-		curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, p);
-	}
+	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
+	curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, att);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, p->sockets);
 	return e;
 }
 
@@ -71,6 +73,7 @@
 	ring_reset(&att->data, BUFFER_MAX, POOL_KEEP);
 	att->req = req;
 	att->length = UINT64_MAX;
+	att->new_fd = -1;
 	att->started_us = cs_mono_us();
 	TAILQ_INSERT_TAIL(&req->attempts, att, entry);
 	(*req->stats->attempts)++;
@@ -156,22 +159,23 @@
 	curl_easy_setopt(att->easy, CURLOPT_HTTPHEADER, att->lines);
 }
 
-static void attempt_send(struct attempt *att, const char *addr, uint16_t port)
+/* Starts the transfer; once: on a connection of its own, used for nothing else. */
+static void attempt_send(struct attempt *att)
 {
 	struct request *req = att->req;
 	struct proxyd *p = req->proxyd;
-	bool fresh = !req->idempotent && !cs_fault("attempts");
+	bool once = !req->idempotent && !cs_fault("attempts");
 	bool hop = att->kind == ATTEMPT_HOP;
 	char url[CS_ADDR_MAX + 24];
 	CURL *e = att->easy;
 
-	snprintf(url, sizeof(url), strchr(addr, ':') ? "http://[%s]:%u/" : "http://%s:%u/", addr,
-		 port);
+	snprintf(url, sizeof(url), strchr(att->addr, ':') ? "http://[%s]:%u/" : "http://%s:%u/",
+		 att->addr, att->port);
 	curl_easy_setopt(e, CURLOPT_URL, url);
 	curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, req->target);
 	/* libcurl sends a request again when a reused connection turns out to be closed. */
-	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
-	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, fresh ? 1L : 0L);
+	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, once || att->stale ? 1L : 0L);
+	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, once ? 1L : 0L);
 	set_body(att);
 	set_lines(att);
 	if (hop)
@@ -189,7 +193,9 @@
 	att->kind = ATTEMPT_SERVER;
 	att->target = target;
 	cs_copy(att->name, sizeof(att->name), cs_target_name(target));
-	attempt_send(att, cs_target_addr(target), cs_target_port(target));
+	cs_copy(att->addr, sizeof(att->addr), cs_target_addr(target));
+	att->port = cs_target_port(target);
+	attempt_send(att);
 	return att;
 }
 
@@ -200,7 +206,9 @@
 	att->kind = ATTEMPT_HOP;
 	cs_copy(att->name, sizeof(att->name), d->u.hop.instance);
 	cs_copy(att->zone, sizeof(att->zone), d->u.hop.zone);
-	attempt_send(att, d->u.hop.addr, d->u.hop.port);
+	cs_copy(att->addr, sizeof(att->addr), d->u.hop.addr);
+	att->port = d->u.hop.port;
+	attempt_send(att);
 	return att;
 }
 
@@ -246,13 +254,20 @@
 	curl_easy_pause(att->easy, att->send_paused ? CURLPAUSE_SEND : CURLPAUSE_CONT);
 }
 
-/* Binds to the process's own address, by which relays and servers know the zone. */
+/*
+ * A new socket: binds it to the process's own address, by which relays and servers know the zone.
+ * CURLOPT_INTERFACE would do the same but compares texts on each search for a connection.
+ */
 static int on_socket(void *arg, curl_socket_t fd, curlsocktype purpose)
 {
 	struct sockaddr_in sa = {.sin_family = AF_INET};
-	struct proxyd *p = arg;
+	struct attempt *att = arg;
+	struct proxyd *p = att->req->proxyd;
 	int one = 1;
 
+	att->new_fd = fd;
+	if (!p->bind_source)
+		return CURL_SOCKOPT_OK;
 	/* The port is chosen at connect, so that ports are shared between destinations. */
 	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &one, sizeof(one));
 	if (inet_pton(AF_INET, p->address, &sa.sin_addr) != 1 ||
@@ -261,19 +276,33 @@
 	return CURL_SOCKOPT_OK;
 }
 
+static int on_close(void *arg, curl_socket_t fd)
+{
+	sockets_closed(arg, fd);
+	return close(fd);
+}
+
 /*
  * The connection is up and nothing was sent yet. A reused connection that has input, or its end,
- * holds an answer that is not ours: the attempt stops as not sent.
+ * holds an answer that is not ours: the attempt stops and is sent on a fresh one.
  */
 static int on_prereq(void *arg, char *dst, char *src, int dst_port, int src_port)
 {
 	struct attempt *att = arg;
-	curl_socket_t fd = CURL_SOCKET_BAD;
-	char c;
+	struct proxyd *p = att->req->proxyd;
+	uint64_t key = sockets_key(dst, dst_port, src, src_port);
+	int fd;
 
-	curl_easy_getinfo(att->easy, CURLINFO_ACTIVESOCKET, &fd);
-	if (fd != CURL_SOCKET_BAD && recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) >= 0)
-		return CURL_PREREQFUNC_ABORT;
+	if (att->new_fd >= 0) {
+		sockets_add(p->sockets, key, att->new_fd);
+		att->new_fd = -1;
+	} else {
+		fd = sockets_find(p->sockets, key);
+		if (fd < 0 || sockets_has_input(fd)) {
+			att->stale = true;
+			return CURL_PREREQFUNC_ABORT;
+		}
+	}
 	att->state = ATTEMPT_SENT;
 	return CURL_PREREQFUNC_OK;
 }
@@ -301,13 +330,19 @@
 	att->status = p ? (unsigned)strtoul(p, NULL, 10) : 0;
 }
 
-/* All header lines are in: framing, body or none, refusal, state of the server. */
-static void head_complete(struct attempt *att)
+/* All header lines are in; false if they are of another request's answer. */
+static bool head_complete(struct attempt *att)
 {
 	const char *length = head_get(&att->head, "Content-Length");
 	const char *coding = head_get(&att->head, "Transfer-Encoding");
 	const char *ran = head_get(&att->head, att->kind == ATTEMPT_HOP ? "X-Cassia-Ran" : "X-Ran");
+	const char *id = head_get(&att->head, "X-Request-Id");
 
+	if (id != NULL && strcmp(id, att->req->id) != 0) {
+		cs_log(CS_ERR, "attempt", "Answer is not to this request. peer=%s id=%s got=%.64s",
+		       att->name, att->req->id, id);
+		return false;
+	}
 	att->head_done = true;
 	att->state = ATTEMPT_ANSWERED;
 	att->no_body = att->status == 204 || att->status == 304 ||
@@ -318,12 +353,12 @@
 		att->framing = FRAMING_CHUNKED;
 	else
 		att->framing = length != NULL ? FRAMING_LENGTH : FRAMING_CLOSE;
-	if (ran == NULL || strcasecmp(ran, "no") != 0)
-		return;
-	if (att->kind == ATTEMPT_HOP || att->status == 503) {
+	if (ran != NULL && strcasecmp(ran, "no") == 0 &&
+	    (att->kind == ATTEMPT_HOP || att->status == 503)) {
 		att->refused = true;
 		att->state = ATTEMPT_REFUSED;
 	}
+	return true;
 }
 
 static size_t on_header(char *data, size_t size, size_t n, void *arg)
@@ -342,7 +377,8 @@
 	if (end == 0) {
 		if (att->status < 200)
 			return len;
-		head_complete(att);
+		if (!head_complete(att))
+			return 0;
 		request_work(att->req);
 		return len;
 	}
@@ -413,6 +449,10 @@
 	struct attempt *att = arg;
 
 	att->running = false;
+	if (att->stale && att->state == ATTEMPT_NOT_SENT && code == CURLE_ABORTED_BY_CALLBACK) {
+		attempt_send(att);
+		return;
+	}
 	if (att->head_done && (code == CURLE_OK || cs_fault("discard")))
 		att->whole = true;
 	else
--- a/src/proxyd/dedup.c
+++ b/src/proxyd/dedup.c
@@ -1,5 +1,6 @@
 /* Repeats of a request id: join the running request, or get its outcome. */
 #include <string.h>
+#include <strings.h>
 
 #include "src/proxyd/proxyd.h"
 
@@ -47,7 +48,7 @@
 	req->result = RESULT_OK;
 	cs_timer_stop(&req->deadline);
 	reply_outcome(req, o);
-	server_resume(req);
+	server_answer(req);
 	return false;
 }
 
@@ -70,7 +71,7 @@
 		req->result = o->kind == OUTCOME_UNKNOWN ? RESULT_FAILED : RESULT_OK;
 		cs_timer_stop(&req->deadline);
 		reply_outcome(req, o);
-		server_resume(req);
+		server_answer(req);
 	}
 }
 
@@ -93,12 +94,33 @@
 	}
 }
 
+/* Header lines of a server's answer with the identity that the first caller saw. */
+static void kept_head(const struct request *req, struct head *out)
+{
+	const struct attempt *att = req->winner;
+	const char *name, *value;
+	size_t at = 0;
+
+	if (att->kind == ATTEMPT_HOP) {
+		head_copy(out, &att->head);
+		return;
+	}
+	while (head_next(&att->head, &at, &name, &value))
+		if (strncasecmp(name, "X-Cassia-", 9) != 0)
+			head_add(out, name, strlen(name), value, strlen(value));
+	value = req->proxyd->instance;
+	head_add(out, "X-Cassia-Instance", 17, value, strlen(value));
+	head_add(out, "X-Cassia-Server", 15, att->name, strlen(att->name));
+	head_add(out, "X-Cassia-Ran", 12, "yes", 3);
+}
+
 void dedup_end(struct request *req, enum ran ran)
 {
 	struct proxyd *p = req->proxyd;
 	struct outcome *o = req->outcome;
 	const struct attempt *att = req->winner;
 	uint64_t now = cs_mono_us();
+	struct head head = {0};
 
 	if (o == NULL)
 		return;
@@ -111,11 +133,14 @@
 		outcomes_lost(p->outcomes, o, now);
 		break;
 	case RAN_YES:
-		if (att != NULL && att->whole && ring_whole(&att->data))
-			outcomes_answered(p->outcomes, o, att->status, &att->head, att->data.data,
+		if (att != NULL && att->whole && att->data.in <= OUTCOME_BODY_MAX) {
+			kept_head(req, &head);
+			outcomes_answered(p->outcomes, o, att->status, &head, att->data.data,
 					  (size_t)att->data.in, now);
-		else
+			head_free(&head);
+		} else {
 			outcomes_answered(p->outcomes, o, req->status, NULL, NULL, 0, now);
+		}
 		break;
 	}
 	tell_joins(o);
--- a/src/proxyd/intake.c
+++ b/src/proxyd/intake.c
@@ -156,10 +156,8 @@
 	char *end;
 
 	if (s->coding != NULL) {
-		if (s->length != NULL || strcasecmp(s->coding, "chunked") != 0)
-			return false;
 		req->has_body = req->chunked = true;
-		return true;
+		return s->length == NULL && strcasecmp(s->coding, "chunked") == 0;
 	}
 	if (s->length == NULL)
 		return true;
@@ -176,14 +174,18 @@
 {
 	(*req->proxyd->stats.bad_input)++;
 	req->result = RESULT_BAD;
+	req->stage = STAGE_ANSWER;
 	reply_error(req, status, error, RAN_NO, message, 0);
 }
 
 /* Checks the request's own headers; false after setting an error reply. */
 static bool check_headers(struct request *req, const struct scan *s)
 {
+	/* First, because what is known of the body decides how an error is sent. */
+	bool framed = read_framing(req, s);
 	char message[160];
 
+	cs_random_id(req->id, sizeof(req->id), "r-");
 	if (s->id != NULL && !check_request_id(s->id)) {
 		bad(req, 400, "bad_request_id",
 		    "X-Request-Id must be 1 to 64 of A-Z a-z 0-9 . _ -");
@@ -191,8 +193,6 @@
 	}
 	if (s->id != NULL)
 		cs_copy(req->id, sizeof(req->id), s->id);
-	else
-		cs_random_id(req->id, sizeof(req->id), "r-");
 	req->id_given = s->id != NULL;
 	if (!check_method(req->method)) {
 		bad(req, 400, "bad_method", "the method is malformed or not supported");
@@ -223,7 +223,7 @@
 		return false;
 	}
 	req->ask.hopped = s->hop != NULL;
-	if (!read_framing(req, s)) {
+	if (!framed) {
 		bad(req, 400, "bad_framing", "Content-Length or Transfer-Encoding is malformed");
 		return false;
 	}
--- a/src/proxyd/main.c
+++ b/src/proxyd/main.c
@@ -97,6 +97,7 @@
 	TAILQ_INIT(&p->work);
 	TAILQ_INIT(&p->pool);
 	LIST_INIT(&p->conns);
+	LIST_INIT(&p->lingers);
 	cs_copy(opts.instance, sizeof(opts.instance), p->instance);
 	cs_copy(opts.zone, sizeof(opts.zone), p->zone);
 	opts.choice = (enum cs_choice)cs_setting_int(settings, "choice");
@@ -104,6 +105,7 @@
 	opts.seed = cs_random_u64();
 	p->policy = cs_policy_create(&opts);
 	p->outcomes = outcomes_create(OUTCOME_ENTRIES_MAX, OUTCOME_BYTES_MAX, OUTCOME_KEEP_US);
+	p->sockets = sockets_create();
 	stats_init(&p->stats);
 	for (i = 0; i < LANE_MAX; i++) {
 		p->lanes[i] = cs_curl_create(p->loop, p->timers);
@@ -123,11 +125,13 @@
 	unsigned i;
 
 	server_stop(p);
+	lingers_stop(p);
 	if (p->link != NULL)
 		view_stop(p);
 	attempts_free(p);
 	for (i = 0; i < LANE_MAX; i++)
 		cs_curl_destroy(p->lanes[i]);
+	sockets_destroy(p->sockets);
 	ev_prepare_stop(p->loop, &p->before);
 	outcomes_destroy(p->outcomes);
 	cs_policy_destroy(p->policy);
--- a/src/proxyd/proxyd.h
+++ b/src/proxyd/proxyd.h
@@ -13,6 +13,7 @@
 #include "src/proxyd/head.h"
 #include "src/proxyd/outcome.h"
 #include "src/proxyd/ring.h"
+#include "src/proxyd/sockets.h"
 #include "src/proxyd/stats.h"
 
 /* Bodies and answers of at most this size are held whole; larger ones stream through it. */
@@ -58,10 +59,14 @@
 	bool running; /* libcurl has it */
 	bool ended; /* the policy was told */
 	bool hedge;
+	bool stale; /* the reused connection had input before the request */
+	int new_fd; /* of a connection opened for this attempt, until it is registered; or -1 */
 	bool send_paused, recv_paused;
 	/* Request lines that differ between attempts. */
 	struct curl_slist lines[3];
 	char deadline_line[48];
+	char addr[CS_ADDR_MAX];
+	uint16_t port;
 	/* Answer. */
 	unsigned status;
 	bool head_done;
@@ -142,6 +147,9 @@
 
 	/* Answer. */
 	struct MHD_Response *reply;
+	const char *reply_body; /* whole body, or NULL if the reply streams */
+	size_t reply_len;
+	bool early; /* answered before the end of the body */
 	unsigned status;
 	enum result { RESULT_NONE, RESULT_OK, RESULT_REFUSED, RESULT_FAILED, RESULT_BAD } result;
 };
@@ -166,6 +174,7 @@
 	struct cs_policy *policy;
 	struct cs_link *link;
 	struct cs_curl *lanes[LANE_MAX];
+	struct sockets *sockets;
 	struct MHD_Daemon *daemon;
 	struct cs_mhd *mhd;
 	struct hangup *hangup;
@@ -175,7 +184,8 @@
 	TAILQ_HEAD(, request) work;
 	TAILQ_HEAD(, attempt) pool;
 	LIST_HEAD(, conn) conns;
-	unsigned n_pool, n_conns, n_requests;
+	LIST_HEAD(, discard) lingers;
+	unsigned n_pool, n_conns, n_requests, n_lingers;
 	bool pump; /* waiting requests may go on */
 	ev_prepare before;
 	ev_signal term, intr;
@@ -190,6 +200,8 @@
 /* Lets the caller's connection go on after it was suspended. */
 void server_resume(struct request *req);
 void server_suspend(struct request *req);
+/* The reply is set: sends it now, also while the body still comes. */
+void server_answer(struct request *req);
 
 /* intake.c: checks of a new request. Sets an error reply, or fills the request. */
 void intake_check(struct request *req);
@@ -238,6 +250,11 @@
 void reply_text(struct request *req, unsigned status, const char *type, char *body);
 /* Queues the reply on the caller's connection. */
 enum MHD_Result reply_send(struct request *req);
+/*
+ * Writes a small reply while the body still comes, when MHD takes none. True if it went out; the
+ * connection must then be closed.
+ */
+bool reply_early(struct request *req);
 
 /* outcomes at this instance: dedup.c */
 /* True if the request may run; else it joined or its reply is set. */
@@ -255,8 +272,10 @@
 
 /* stop.c */
 void stop_watch(struct proxyd *p);
-/* Checks whether a planned stop is complete; called when a request ends. */
-void stop_check(struct proxyd *p);
+
+/* linger.c: discards what a caller still sends after its answer. */
+void linger_start(struct proxyd *p, int fd);
+void lingers_stop(struct proxyd *p);
 
 /* hangup.c: finds out that a caller left while MHD does not watch its connection. */
 struct hangup *hangup_create(struct ev_loop *loop);
--- a/src/proxyd/reply.c
+++ b/src/proxyd/reply.c
@@ -4,11 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "src/proxyd/proxyd.h"
 
 /* Bytes MHD asks for in one call while an answer streams. */
 #define BLOCK_SIZE (32 * 1024)
+/* Largest header block and body of a reply written before the end of the request's body. */
+#define EARLY_MAX (8 * 1024)
 
 static ssize_t on_answer(void *cls, uint64_t pos, char *buf, size_t max);
 
@@ -48,11 +51,15 @@
 	MHD_add_response_header(r, "X-Cassia-Ran", ran_name(ran));
 }
 
-static void set_reply(struct request *req, unsigned status, struct MHD_Response *r)
+/* body is NULL for a reply that streams. */
+static void set_reply(struct request *req, unsigned status, struct MHD_Response *r,
+		      const char *body, size_t len)
 {
 	if (req->reply != NULL)
 		MHD_destroy_response(req->reply);
 	req->reply = r;
+	req->reply_body = body;
+	req->reply_len = len;
 	req->status = status;
 }
 
@@ -68,7 +75,8 @@
 	json_decref(doc);
 	free(text);
 	set_reply(req, status,
-		  MHD_create_response_from_buffer(strlen(line), line, MHD_RESPMEM_MUST_FREE));
+		  MHD_create_response_from_buffer(strlen(line), line, MHD_RESPMEM_MUST_FREE), line,
+		  strlen(line));
 	MHD_add_response_header(req->reply, "Content-Type", "application/json");
 	add_identity(req, NULL, ran);
 	if (status == 503) {
@@ -80,7 +88,8 @@
 void reply_text(struct request *req, unsigned status, const char *type, char *body)
 {
 	set_reply(req, status,
-		  MHD_create_response_from_buffer(strlen(body), body, MHD_RESPMEM_MUST_FREE));
+		  MHD_create_response_from_buffer(strlen(body), body, MHD_RESPMEM_MUST_FREE), body,
+		  strlen(body));
 	MHD_add_response_header(req->reply, "Content-Type", type);
 }
 
@@ -140,7 +149,11 @@
 	/* A whole answer that did not wrap can be sent from its buffer. */
 	if (att->whole && att->framing != FRAMING_CLOSE && ring_whole(&att->data))
 		kept = true;
-	set_reply(req, att->status, kept ? whole_response(req, att) : stream_response(req, att));
+	if (kept)
+		set_reply(req, att->status, whole_response(req, att),
+			  att->data.data ? att->data.data : "", ring_used(&att->data));
+	else
+		set_reply(req, att->status, stream_response(req, att), NULL, 0);
 	add_head(req->reply, &att->head, hop);
 	if (hop)
 		MHD_add_response_header(req->reply, "X-Request-Id", req->id);
@@ -155,7 +168,8 @@
 	switch (o->kind) {
 	case OUTCOME_KEPT:
 		set_reply(req, o->status,
-			  MHD_create_response_from_buffer(o->len, o->body, MHD_RESPMEM_MUST_COPY));
+			  MHD_create_response_from_buffer(o->len, o->body, MHD_RESPMEM_MUST_COPY),
+			  NULL, 0);
 		add_head(req->reply, &o->head, true);
 		MHD_add_response_header(req->reply, "X-Request-Id", req->id);
 		break;
@@ -179,6 +193,56 @@
 	return MHD_queue_response(req->mhd, req->status, req->reply);
 }
 
+/* Text of a reply's header lines. */
+struct lines {
+	char text[EARLY_MAX];
+	size_t len;
+};
+
+static enum MHD_Result write_line(void *cls, enum MHD_ValueKind kind, const char *name,
+				  const char *value)
+{
+	struct lines *l = cls;
+	int n;
+
+	if (strcasecmp(name, "Content-Length") == 0 || strcasecmp(name, "Connection") == 0)
+		return MHD_YES;
+	n = snprintf(l->text + l->len, sizeof(l->text) - l->len, "%s: %s\r\n", name, value);
+	if (n < 0 || (size_t)n >= sizeof(l->text) - l->len)
+		return MHD_NO;
+	l->len += (size_t)n;
+	return MHD_YES;
+}
+
+bool reply_early(struct request *req)
+{
+	struct lines l = {.len = 0};
+	int fd = req->conn ? req->conn->fd : -1, rows;
+	struct iovec iov[2];
+	struct msghdr msg = {.msg_iov = iov, .msg_iovlen = 2};
+	char *head;
+	ssize_t n;
+
+	if (req->reply_body == NULL || req->reply_len > EARLY_MAX || fd < 0)
+		return false;
+	rows = MHD_get_response_headers(req->reply, NULL, NULL);
+	if (MHD_get_response_headers(req->reply, write_line, &l) != rows)
+		return false;
+	head = cs_xasprintf("HTTP/1.1 %u %s\r\n%sConnection: close\r\nContent-Length: %zu\r\n\r\n",
+			    req->status, MHD_get_reason_phrase_for(req->status), l.text,
+			    req->reply_len);
+	iov[0] = (struct iovec){.iov_base = head, .iov_len = strlen(head)};
+	iov[1] = (struct iovec){.iov_base = (void *)(uintptr_t)req->reply_body,
+				.iov_len = req->reply_len};
+	/*
+	 * MHD has written nothing for this request but an interim answer, so that the socket takes
+	 * it all; if not, the caller sees a cut answer.
+	 */
+	n = sendmsg(fd, &msg, MSG_DONTWAIT | MSG_NOSIGNAL);
+	free(head);
+	return n > 0;
+}
+
 /* MHD wants more of the winner's answer. */
 static ssize_t on_answer(void *cls, uint64_t pos, char *buf, size_t max)
 {
--- a/src/proxyd/request.c
+++ b/src/proxyd/request.c
@@ -104,7 +104,6 @@
 	free(req->lines);
 	free(req->target);
 	free(req);
-	stop_check(p);
 }
 
 enum ran request_ran(const struct request *req)
@@ -284,7 +283,7 @@
 	req->result = status >= 500 ? RESULT_FAILED : RESULT_BAD;
 	reply_error(req, status, error, ran, message, 0);
 	dedup_end(req, ran);
-	server_resume(req);
+	server_answer(req);
 }
 
 void request_refuse(struct request *req, enum cs_refusal reason, unsigned retry_after_ms)
@@ -307,14 +306,14 @@
 	reply_error(req, 503, cs_refusal_name(reason), RAN_NO, message,
 		    (retry_after_ms + 999) / 1000);
 	dedup_end(req, RAN_NO);
-	server_resume(req);
+	server_answer(req);
 }
 
 void request_gone(struct request *req)
 {
 	enum ran ran = request_ran(req);
 
-	if (req->gone)
+	if (req->gone || req->early)
 		return;
 	req->gone = true;
 	stop_timers(req);
@@ -339,7 +338,7 @@
 	req->status = att->status;
 	reply_attempt(req);
 	dedup_end(req, RAN_YES);
-	server_resume(req);
+	server_answer(req);
 }
 
 /* True if another attempt may be made after the last one ended in this state. */
--- a/src/proxyd/server.c
+++ b/src/proxyd/server.c
@@ -1,6 +1,8 @@
 /* Callers' side: one MHD daemon, its connections, and the flow of each request through MHD. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "src/proxyd/proxyd.h"
@@ -80,6 +82,24 @@
 	cs_mhd_kick(req->proxyd->mhd);
 }
 
+void server_answer(struct request *req)
+{
+	if (req->suspended) {
+		server_resume(req);
+		return;
+	}
+	if (req->in_handler || !req->has_body || req->body_ended || req->early)
+		return;
+	/*
+	 * MHD waits for the rest of the body and takes no reply before its end. The end of input
+	 * makes it close the connection.
+	 */
+	if (!reply_early(req))
+		return;
+	req->early = true;
+	shutdown(req->conn->fd, SHUT_RD);
+}
+
 static void on_log(void *cls, const char *fmt, va_list ap)
 {
 	char text[200];
@@ -147,9 +167,12 @@
 		return MHD_YES;
 	if (req->reply == NULL)
 		request_start(req);
-	if (req->reply != NULL)
-		return reply_send(req);
-	return MHD_YES;
+	/* MHD closes the connection after a reply to the first call; without a body there is no
+	 * need. */
+	if (req->reply == NULL || !req->has_body)
+		return MHD_YES;
+	req->early = true;
+	return reply_send(req);
 }
 
 /* The request is complete, or MHD goes on after a suspension. */
@@ -157,7 +180,7 @@
 {
 	if (req->admin && req->reply == NULL)
 		admin_handle(req);
-	else if (!req->body_ended)
+	else if (!req->body_ended && req->reply == NULL)
 		request_body_end(req);
 	if (req->gone)
 		return MHD_NO;
@@ -169,13 +192,18 @@
 
 static enum MHD_Result body_call(struct request *req, const char *data, size_t *size)
 {
-	if (req->admin) {
+	if (req->admin)
 		*size = 0;
-		return MHD_YES;
-	}
-	*size -= request_body(req, data, *size);
+	else if (req->reply == NULL)
+		*size -= request_body(req, data, *size);
 	if (req->gone)
 		return MHD_NO;
+	if (req->reply != NULL && reply_early(req)) {
+		req->early = true;
+		return MHD_NO;
+	}
+	if (req->reply != NULL)
+		*size -= request_body(req, data, *size);
 	if (*size > 0)
 		server_suspend(req);
 	return MHD_YES;
@@ -188,14 +216,16 @@
 	struct request *req = *ctx;
 	enum MHD_Result res;
 
-	if (req == NULL || req->gone)
+	if (req == NULL || req->gone || req->early)
 		return MHD_NO;
+	req->in_handler = true;
 	if (!req->started)
 		res = first_call(req, method);
 	else if (*size > 0)
 		res = body_call(req, data, size);
 	else
 		res = last_call(req);
+	req->in_handler = false;
 	return res;
 }
 
@@ -207,7 +237,9 @@
 	*ctx = NULL;
 	if (req == NULL)
 		return;
-	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+	if (req->early && req->conn != NULL)
+		linger_start(req->proxyd, req->conn->fd);
+	else if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
 		req->gone = true;
 	if (req->conn != NULL)
 		req->conn->req = NULL;
--- /dev/null
+++ b/src/proxyd/sockets.c
@@ -0,0 +1,109 @@
+/*
+ * Descriptors of open connections to servers by their four-tuple. libcurl tells a request's
+ * connection only by addresses and ports before it sends, and does not look for input on an idle
+ * connection that it takes again; the descriptor is needed to do that.
+ */
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "src/proxyd/sockets.h"
+
+struct entry {
+	RB_ENTRY(entry) by_key;
+	LIST_ENTRY(entry) by_fd;
+	uint64_t key;
+	int fd;
+};
+
+RB_HEAD(entry_tree, entry);
+
+#define FD_BUCKETS 1024
+
+struct sockets {
+	struct entry_tree tree;
+	LIST_HEAD(entry_list, entry) by_fd[FD_BUCKETS];
+};
+
+static int entry_cmp(struct entry *a, struct entry *b);
+
+CS_RB_GENERATE(entry_tree, entry, by_key, entry_cmp)
+
+static int entry_cmp(struct entry *a, struct entry *b)
+{
+	if (a->key != b->key)
+		return a->key < b->key ? -1 : 1;
+	return 0;
+}
+
+struct sockets *sockets_create(void)
+{
+	struct sockets *s = cs_xcalloc(1, sizeof(*s));
+	unsigned i;
+
+	RB_INIT(&s->tree);
+	for (i = 0; i < FD_BUCKETS; i++)
+		LIST_INIT(&s->by_fd[i]);
+	return s;
+}
+
+static void entry_remove(struct sockets *s, struct entry *e)
+{
+	RB_REMOVE(entry_tree, &s->tree, e);
+	LIST_REMOVE(e, by_fd);
+	free(e);
+}
+
+void sockets_destroy(struct sockets *s)
+{
+	struct entry *e, *next;
+
+	if (s == NULL)
+		return;
+	RB_FOREACH_SAFE(e, entry_tree, &s->tree, next)
+		entry_remove(s, e);
+	free(s);
+}
+
+uint64_t sockets_key(const char *dst, int dst_port, const char *src, int src_port)
+{
+	uint64_t ports = (uint64_t)(unsigned)dst_port << 32 | (unsigned)src_port;
+
+	return cs_hash_str(dst, cs_hash_str(src, ports));
+}
+
+void sockets_add(struct sockets *s, uint64_t key, int fd)
+{
+	struct entry *e = cs_xcalloc(1, sizeof(*e)), *old;
+
+	e->key = key;
+	e->fd = fd;
+	old = RB_FIND(entry_tree, &s->tree, e);
+	if (old != NULL)
+		entry_remove(s, old);
+	RB_INSERT(entry_tree, &s->tree, e);
+	LIST_INSERT_HEAD(&s->by_fd[fd % FD_BUCKETS], e, by_fd);
+}
+
+int sockets_find(struct sockets *s, uint64_t key)
+{
+	struct entry probe = {.key = key}, *e = RB_FIND(entry_tree, &s->tree, &probe);
+
+	return e ? e->fd : -1;
+}
+
+void sockets_closed(struct sockets *s, int fd)
+{
+	struct entry *e, *next;
+
+	LIST_FOREACH_SAFE(e, &s->by_fd[fd % FD_BUCKETS], by_fd, next)
+		if (e->fd == fd)
+			entry_remove(s, e);
+}
+
+bool sockets_has_input(int fd)
+{
+	char c;
+
+	return recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
--- /dev/null
+++ b/src/proxyd/sockets.h
@@ -0,0 +1,19 @@
+/* sockets: open connections to servers by addresses and ports. */
+#ifndef PROXYD_SOCKETS_H
+#define PROXYD_SOCKETS_H
+
+#include "base/base.h"
+
+struct sockets;
+struct sockets *sockets_create(void);
+void sockets_destroy(struct sockets *s);
+/* Key of a connection's addresses in text and ports. */
+uint64_t sockets_key(const char *dst, int dst_port, const char *src, int src_port);
+void sockets_add(struct sockets *s, uint64_t key, int fd);
+/* Descriptor, or -1. */
+int sockets_find(struct sockets *s, uint64_t key);
+void sockets_closed(struct sockets *s, int fd);
+/* True if a connection on which nothing is expected has input or has ended. */
+bool sockets_has_input(int fd);
+
+#endif
--- a/src/proxyd/stop.c
+++ b/src/proxyd/stop.c
@@ -53,17 +53,9 @@
 	if (p->stop == STOP_ANNOUNCED) {
 		p->stop = STOP_REFUSING;
 		cs_log(CS_NOTICE, "stop", "Refusing new work. requests=%u", p->n_requests);
-		cs_timer_start(p->timers, &p->stop_timer, LINGER_US);
-		return;
-	}
-	if (p->n_requests == 0) {
+		cs_timer_start_every(p->timers, &p->stop_timer, LINGER_US);
+	} else if (p->n_requests == 0) {
 		p->stop = STOP_DONE;
 		ev_break(p->loop, EVBREAK_ALL);
 	}
 }
-
-void stop_check(struct proxyd *p)
-{
-	if (p->stop == STOP_REFUSING && p->n_requests == 0)
-		cs_timer_start(p->timers, &p->stop_timer, LINGER_US);
-}
--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -43,6 +43,7 @@
 };
 
 static FILE *log_file;
+static unsigned own_port;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 static bool send_all(struct peer *p, const char *data, size_t n)
@@ -333,21 +334,14 @@
 	send_text(p, 200, "", "slow\n");
 }
 
-/* Slow for the first request with this id, quick for the next: shows a hedge. */
-static void do_straggle(struct peer *p, long long n)
+/* Slow if the server's own port is even: shows a hedge. */
+static void do_slow_even(struct peer *p, long long n)
 {
-	static char seen[80];
-	bool first;
-
 	if (!run_request(p))
 		return;
-	pthread_mutex_lock(&lock);
-	first = strcmp(seen, p->id) != 0;
-	cs_copy(seen, sizeof(seen), p->id);
-	pthread_mutex_unlock(&lock);
-	if (first)
+	if (own_port % 2 == 0)
 		usleep((useconds_t)(n * 1000));
-	send_text(p, 200, "", first ? "first\n" : "second\n");
+	send_text(p, 200, "", own_port % 2 == 0 ? "even\n" : "odd\n");
 }
 
 /* Answers, then closes without a word, as at an idle timeout. */
@@ -444,7 +438,7 @@
 	{"/refuse", do_refuse},
 	{"/reject", do_reject},
 	{"/slow/", do_slow},
-	{"/straggle/", do_straggle},
+	{"/slow-even/", do_slow_even},
 	{"/drop/", do_drop},
 	{"/late/", do_late},
 	{"/upload", do_upload},
@@ -496,7 +490,8 @@
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
-	sa.sin_port = htons((uint16_t)strtoul(argv[2], NULL, 10));
+	own_port = (unsigned)strtoul(argv[2], NULL, 10);
+	sa.sin_port = htons((uint16_t)own_port);
 	log_file = fopen(argv[3], "a");
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
