--- /dev/null
+++ b/src/check/read.c
@@ -0,0 +1,233 @@
+/* Reads histories, run logs and facts, and joins them by request id. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/check/check.h"
+
+static const char *const verdict_names[] = {"ok", "refused", "failed", "unknown", "bad"};
+static const char *const fact_names[] = {"zone",     "fault", "drain", "stop",
+					 "accepted", "seen",  "final"};
+
+struct check *check_create(FILE *out)
+{
+	struct check *c = cs_xcalloc(1, sizeof(*c));
+
+	c->ops = g_ptr_array_new_with_free_func(free);
+	c->runs = g_ptr_array_new_with_free_func(free);
+	c->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	c->states = g_array_new(FALSE, TRUE, sizeof(struct state_change));
+	c->facts = g_array_new(FALSE, TRUE, sizeof(struct fact));
+	c->names = g_string_chunk_new(4096);
+	c->out = out;
+	return c;
+}
+
+void check_destroy(struct check *c)
+{
+	g_hash_table_destroy(c->by_id);
+	g_ptr_array_free(c->ops, TRUE);
+	g_ptr_array_free(c->runs, TRUE);
+	g_array_free(c->states, TRUE);
+	g_array_free(c->facts, TRUE);
+	g_string_chunk_free(c->names);
+	free(c);
+}
+
+/* Interned text of a key; "" if absent. */
+static const char *text(struct check *c, json_t *obj, const char *key)
+{
+	const char *s = json_string_value(json_object_get(obj, key));
+
+	return g_string_chunk_insert_const(c->names, s ? s : "");
+}
+
+static uint64_t number(json_t *obj, const char *key)
+{
+	return (uint64_t)json_number_value(json_object_get(obj, key));
+}
+
+static void copy(json_t *obj, const char *key, char *out, size_t size)
+{
+	const char *s = json_string_value(json_object_get(obj, key));
+
+	cs_copy(out, size, s ? s : "");
+}
+
+/* Index of a name, or -1. */
+static int find_name(const char *const *names, size_t n, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (strcmp(names[i], name) == 0)
+			return (int)i;
+	return -1;
+}
+
+/* Parses a line that has to be an object with a non-empty key; counts it as bad otherwise. */
+static json_t *parse(struct check *c, const char *line, const char *key)
+{
+	json_t *doc = json_loads(line, 0, NULL);
+	const char *s = json_string_value(json_object_get(doc, key));
+
+	if (s != NULL && *s != '\0')
+		return doc;
+	json_decref(doc);
+	c->bad_lines++;
+	return NULL;
+}
+
+void check_history_line(struct check *c, const char *line)
+{
+	json_t *doc = parse(c, line, "id");
+	struct op *op, *known;
+	int verdict;
+
+	if (doc == NULL)
+		return;
+	op = cs_xcalloc(1, sizeof(*op));
+	copy(doc, "id", op->id, sizeof(op->id));
+	copy(doc, "upload_digest", op->digest, sizeof(op->digest));
+	op->class = text(c, doc, "class");
+	op->caller = text(c, doc, "caller");
+	op->entry = text(c, doc, "entry");
+	op->instance = text(c, doc, "instance");
+	op->ran = text(c, doc, "ran");
+	op->body = text(c, doc, "body");
+	op->idempotent = json_is_true(json_object_get(doc, "idempotent"));
+	op->planned_us = number(doc, "planned_us");
+	op->sent_us = number(doc, "sent_us");
+	op->end_us = number(doc, "end_us");
+	op->status = (int)number(doc, "status");
+	op->tries = (unsigned)number(doc, "tries");
+	op->upload_len = number(doc, "upload_len");
+	op->lines = 1;
+	verdict = find_name(verdict_names, G_N_ELEMENTS(verdict_names), text(c, doc, "outcome"));
+	if (verdict < 0)
+		c->bad_lines++;
+	op->verdict = verdict < 0 ? V_UNKNOWN : (enum verdict)verdict;
+	json_decref(doc);
+	g_ptr_array_add(c->ops, op);
+	known = g_hash_table_lookup(c->by_id, op->id);
+	if (known != NULL)
+		known->lines++;
+	else
+		g_hash_table_insert(c->by_id, op->id, op);
+}
+
+static void read_state(struct check *c, json_t *doc)
+{
+	struct state_change s = {.server = text(c, doc, "server"),
+				 .state = text(c, doc, "state"),
+				 .at_us = number(doc, "at_us")};
+
+	g_array_append_val(c->states, s);
+}
+
+void check_run_line(struct check *c, const char *line)
+{
+	json_t *doc = parse(c, line, "server");
+	struct run *r;
+
+	if (doc == NULL)
+		return;
+	if (json_object_get(doc, "event") != NULL) {
+		read_state(c, doc);
+		json_decref(doc);
+		return;
+	}
+	r = cs_xcalloc(1, sizeof(*r));
+	copy(doc, "id", r->id, sizeof(r->id));
+	copy(doc, "body_digest", r->digest, sizeof(r->digest));
+	r->server = text(c, doc, "server");
+	r->service = text(c, doc, "service");
+	r->zone = text(c, doc, "zone");
+	r->outcome = text(c, doc, "outcome");
+	r->start_us = number(doc, "start_us");
+	r->end_us = number(doc, "end_us");
+	r->slots = (unsigned)number(doc, "slots");
+	r->body_len = number(doc, "body_len");
+	r->refused = strcmp(r->outcome, "refused") == 0;
+	json_decref(doc);
+	g_ptr_array_add(c->runs, r);
+}
+
+void check_fact_line(struct check *c, const char *line)
+{
+	json_t *doc = parse(c, line, "fact");
+	struct fact f = {0};
+	int kind;
+
+	if (doc == NULL)
+		return;
+	kind = find_name(fact_names, G_N_ELEMENTS(fact_names), text(c, doc, "fact"));
+	if (kind < 0) {
+		c->bad_lines++;
+		json_decref(doc);
+		return;
+	}
+	f.kind = (enum fact_kind)kind;
+	f.name = text(c, doc, "name");
+	f.zone = text(c, doc, "zone");
+	f.prefix = text(c, doc, "prefix");
+	f.what = text(c, doc, "what");
+	f.from_us = number(doc, "from_us");
+	f.to_us = number(doc, "to_us");
+	f.until_us = number(doc, "until_us");
+	f.revision = number(doc, "revision");
+	f.boot = number(doc, "boot");
+	f.cap_pct_s = json_number_value(json_object_get(doc, "cap_pct_s"));
+	json_decref(doc);
+	g_array_append_val(c->facts, f);
+}
+
+static gint by_start(gconstpointer a, gconstpointer b)
+{
+	const struct run *x = *(struct run *const *)a, *y = *(struct run *const *)b;
+
+	return x->start_us < y->start_us ? -1 : x->start_us > y->start_us;
+}
+
+void check_join(struct check *c)
+{
+	struct run *r;
+	struct op *op;
+	guint i;
+
+	g_ptr_array_sort(c->runs, by_start);
+	for (i = c->runs->len; i > 0; i--) {
+		r = c->runs->pdata[i - 1];
+		op = g_hash_table_lookup(c->by_id, r->id);
+		if (op == NULL)
+			continue;
+		r->next = op->runs;
+		op->runs = r;
+	}
+}
+
+bool check_excused(const struct check *c, const char *zone, uint64_t from_us, uint64_t to_us)
+{
+	const struct fact *f;
+	guint i;
+
+	for (i = 0; i < c->facts->len; i++) {
+		f = check_fact(c, i);
+		if (f->kind == FACT_FAULT && f->from_us <= to_us && f->to_us >= from_us &&
+		    (*f->zone == '\0' || strcmp(f->zone, zone) == 0))
+			return true;
+	}
+	return false;
+}
+
+const char *check_caller_zone(const struct check *c, const char *addr)
+{
+	const struct fact *f;
+	guint i;
+
+	for (i = 0; i < c->facts->len; i++) {
+		f = check_fact(c, i);
+		if (f->kind == FACT_ZONE && strncmp(addr, f->prefix, strlen(f->prefix)) == 0)
+			return f->name;
+	}
+	return "";
+}
