--- a/lib/policy/internal.h
+++ b/lib/policy/internal.h
@@ -208,6 +208,8 @@
 void share_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us);
 void share_refresh(struct cs_policy *p, uint64_t now_us);
 void share_clear(struct cs_policy *p);
+/* Keeps the roster that an instance named last; true if it changed. */
+bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster);
 /* Slots that the target may run now for a request that ends by deadline_us. */
 unsigned share_limit(const struct cs_policy *p, const struct cs_target *t, unsigned pool,
 		     uint64_t deadline_us, uint64_t now_us);
--- a/lib/policy/share.c
+++ b/lib/policy/share.c
@@ -483,8 +483,7 @@
 	free(p->peers);
 }
 
-void cs_policy_peer_roster(struct cs_policy *p, const char *instance, uint64_t roster,
-			   uint64_t now_us)
+bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster)
 {
 	uint64_t name = cs_hash_str(instance, 0);
 	unsigned i;
@@ -494,11 +493,18 @@
 	if (i == p->n_peers) {
 		p->peers = cs_xrealloc(p->peers, i + 1, sizeof(*p->peers));
 		p->peers[p->n_peers++].name = name;
-	} else if (p->peers[i].roster == roster) {
-		return;
+		p->peers[i].roster = 0;
 	}
+	if (p->peers[i].roster == roster)
+		return false;
 	p->peers[i].roster = roster;
-	if (p->n_rosters > 1)
+	return true;
+}
+
+void cs_policy_peer_roster(struct cs_policy *p, const char *instance, uint64_t roster,
+			   uint64_t now_us)
+{
+	if (peer_set(p, instance, roster) && p->n_rosters > 1)
 		share_refresh(p, now_us);
 }
 
