Find entries of lookup answers by name

Cause: the plan holds its own copies of the members; the pointer into the view was out of range, and answers held bytes from elsewhere in memory. Change: rendered entries are in a hash table by member name. cassiactl lists the commands of a group and names the nearest first word.

--- a/src/ctl/cmd-zones.c
+++ b/src/ctl/cmd-zones.c
@@ -55,8 +55,11 @@
 	ctl_cell(t, "%u", l->in_flight);
 	ctl_cell(t, "%u", l->foreign);
 	ctl_cell(t, "%u", l->waiting);
-	ctl_cell(t, "%.0f%% of %.0f%%%s", headroom(l), s->headroom_pct,
-		 headroom(l) < s->headroom_pct ? " short" : "");
+	if (l->capacity == 0)
+		ctl_cell(t, "no capacity");
+	else
+		ctl_cell(t, "%.0f%% of %.0f%%%s", headroom(l), s->headroom_pct,
+			 headroom(l) < s->headroom_pct ? " short" : "");
 	ctl_cell(t, "%s",
 		 ctl_age(l->age_us == UINT64_MAX ? -1 : (int64_t)(l->age_us / CS_US_PER_MS), age));
 }
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -9,6 +9,7 @@
 #define TIMEOUT_DEFAULT_MS 5000
 #define TIMEOUT_MIN_MS 100
 #define TIMEOUT_MAX_MS 600000
+#define CMDS_MAX 32
 
 const struct cmd *const cmds[] = {
 	&cmd_status,	   &cmd_zones,	      &cmd_servers,   &cmd_classes,
@@ -89,23 +90,48 @@
 	return NULL;
 }
 
+/* Adds the first word of a command's name unless it is there. */
+static size_t add_first_word(char **words, size_t n, const char *name)
+{
+	char *word = g_strndup(name, strcspn(name, " "));
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (strcmp(words[i], word) == 0) {
+			g_free(word);
+			return n;
+		}
+	}
+	words[n] = word;
+	return n + 1;
+}
+
 /* Says what the command may have been. */
 static void unknown_command(const char *first, const char *second)
 {
-	const char *names[64];
+	char *words[CMDS_MAX], *full = cs_xasprintf("%s %s", first, second);
+	const char *group[CMDS_MAX];
+	size_t n_words = 0, n_group = 0, len = strlen(first), i;
 	struct cs_msg buf;
-	char *full = cs_xasprintf("%s %s", first, second);
-	bool group = false;
-	size_t n = 0, len = strlen(first);
 
-	for (; cmds[n] != NULL; n++) {
-		names[n] = cmds[n]->name;
-		if (strncmp(cmds[n]->name, first, len) == 0 && cmds[n]->name[len] == ' ')
-			group = true;
+	for (i = 0; cmds[i] != NULL; i++) {
+		n_words = add_first_word(words, n_words, cmds[i]->name);
+		if (strncmp(cmds[i]->name, first, len) == 0 && cmds[i]->name[len] == ' ')
+			group[n_group++] = cmds[i]->name;
+	}
+	if (n_group > 0) {
+		fprintf(stderr,
+			"cassiactl: unknown command '%s'%s; allowed:", second[0] ? full : first,
+			second[0] ? ctl_suggest(full, group, n_group, &buf) : "");
+		for (i = 0; i < n_group; i++)
+			fprintf(stderr, "%s '%s'", i > 0 ? "," : "", group[i]);
+		fputc('\n', stderr);
+	} else {
+		fprintf(stderr, "cassiactl: unknown command '%s'%s; cassiactl --help lists all\n",
+			first, ctl_suggest(first, (const char *const *)words, n_words, &buf));
 	}
-	fprintf(stderr, "cassiactl: unknown command '%s'%s; cassiactl --help lists all\n",
-		group && second[0] ? full : first,
-		ctl_suggest(group ? full : first, names, n, &buf));
+	for (i = 0; i < n_words; i++)
+		g_free(words[i]);
 	free(full);
 }
 
--- a/src/lookupd/answer.c
+++ b/src/lookupd/answer.c
@@ -135,9 +135,11 @@
 	part = steer_prefix(d->steer, (unsigned)ask.class_index, &len);
 	at = append(buf, sizeof(buf), 0, part, len);
 	for (i = 0; i < found.n; i++) {
-		if (i > 0)
-			at = append(buf, sizeof(buf), at, ",", 1);
 		part = steer_entry(d->steer, found.members[i], &len);
+		if (part == NULL)
+			continue;
+		if (buf[at - 1] != '[')
+			at = append(buf, sizeof(buf), at, ",", 1);
 		at = append(buf, sizeof(buf), at, part, len);
 	}
 	at = append(buf, sizeof(buf), at, "]}\n", 3);
--- a/src/lookupd/lookupd.h
+++ b/src/lookupd/lookupd.h
@@ -19,7 +19,7 @@
 uint64_t steer_plans(const struct steer *s);
 /* Start of the answer for a class, up to the list of entries. */
 const char *steer_prefix(const struct steer *s, unsigned class_index, size_t *len);
-/* Entry of an answer for a member of the view. */
+/* Entry of an answer for a member of the plan; NULL if the view has none of this name. */
 const char *steer_entry(const struct steer *s, const struct cs_member *m, size_t *len);
 
 struct lookupd {
--- a/src/lookupd/steer.c
+++ b/src/lookupd/steer.c
@@ -17,6 +17,7 @@
 #define PLAN_MAX_US CS_US_PER_S
 
 struct piece {
+	const char *name; /* of the member; NULL in an unused place */
 	char *text;
 	size_t len;
 };
@@ -28,7 +29,8 @@
 	struct cs_view *view;
 	struct cs_plan *plan;
 	struct piece *prefixes; /* by class */
-	struct piece *entries; /* by member */
+	struct piece *entries; /* hash table by member name, linear probing */
+	unsigned n_entries; /* a power of two, at least twice the members */
 	uint64_t planned_us;
 	uint64_t plans;
 };
@@ -51,7 +53,7 @@
 		return;
 	cs_plan_destroy(s->plan);
 	free_pieces(s->prefixes, s->view->cfg->n_classes);
-	free_pieces(s->entries, s->view->n_members);
+	free_pieces(s->entries, s->n_entries);
 	cs_view_destroy(s->view);
 	s->view = NULL;
 	s->plan = NULL;
@@ -90,7 +92,7 @@
 {
 	char *name = quote(m->name), *zone = quote(m->zone);
 	bool v6 = strchr(m->addr, ':') != NULL;
-	struct piece p;
+	struct piece p = {.name = m->name};
 
 	p.text = cs_xasprintf("{\"instance\":%s,\"zone\":%s,\"url\":\"http://%s%s%s:%u\"}", name,
 			      zone, v6 ? "[" : "", m->addr, v6 ? "]" : "", m->proxy_port);
@@ -100,6 +102,19 @@
 	return p;
 }
 
+/* Place of a member's entry, or the unused place where it belongs. */
+static struct piece *find_entry(const struct steer *s, const char *name)
+{
+	unsigned i = (unsigned)cs_hash_str(name, 0);
+
+	for (;; i++) {
+		struct piece *p = &s->entries[i & (s->n_entries - 1)];
+
+		if (p->name == NULL || strcmp(p->name, name) == 0)
+			return p;
+	}
+}
+
 static void render(struct steer *s)
 {
 	const struct cs_config *cfg = s->view->cfg;
@@ -113,9 +128,15 @@
 						   cfg->shift.lookup_ttl_ms);
 		s->prefixes[i].len = strlen(s->prefixes[i].text);
 	}
-	s->entries = cs_xcalloc(s->view->n_members, sizeof(*s->entries));
-	for (i = 0; i < s->view->n_members; i++)
-		s->entries[i] = render_entry(&s->view->members[i]);
+	for (s->n_entries = 2; s->n_entries < 2 * s->view->n_members; s->n_entries *= 2)
+		;
+	s->entries = cs_xcalloc(s->n_entries, sizeof(*s->entries));
+	for (i = 0; i < s->view->n_members; i++) {
+		struct piece *p = find_entry(s, s->view->members[i].name);
+
+		if (p->name == NULL)
+			*p = render_entry(&s->view->members[i]);
+	}
 }
 
 /* Puts the waiting view into force, if there is one, and makes a plan for the present time. */
@@ -201,7 +222,8 @@
 
 const char *steer_entry(const struct steer *s, const struct cs_member *m, size_t *len)
 {
-	const struct piece *p = &s->entries[m - s->view->members];
+	/* The plan holds copies of the members, so they are found by name. */
+	const struct piece *p = find_entry(s, m->name);
 
 	*len = p->len;
 	return p->text;
