--- a/src/load/load.h
+++ b/src/load/load.h
@@ -32,6 +32,7 @@
 	char method[8];
 	bool idempotent;
 	bool even; /* fixed distances; else exponential */
+	bool raw; /* path is sent as it is, any body is right */
 	double rate; /* 0: closed loop */
 	unsigned concurrency; /* closed loop: requests kept running */
 	uint64_t upload_bytes, answer_bytes;
--- a/src/load/plan.c
+++ b/src/load/plan.c
@@ -4,7 +4,7 @@
  *    "callers":[{"address":"127.9.1.200","lookups":["http://127.9.1.1:8081"]}],
  *    "streams":[{"class":"lookups","rate":100,"path":"/x","method":"GET","idempotent":true,
  *      "upload_bytes":0,"answer_bytes":64,"deadline_ms":2000,"from_s":0,"to_s":10,"warm_s":1,
- *      "arrivals":"even","concurrency":0,"direct":["http://127.9.1.50:9000"]}]}
+ *      "arrivals":"even","raw":false,"concurrency":0,"direct":["http://127.9.1.50:9000"]}]}
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -46,6 +46,7 @@
 	s->deadline_ms = (unsigned)number(row, "deadline_ms", 3000);
 	s->idempotent = !json_is_false(json_object_get(row, "idempotent"));
 	s->even = strcmp(string(row, "arrivals", "poisson"), "even") == 0;
+	s->raw = json_is_true(json_object_get(row, "raw"));
 	cs_copy(s->method, sizeof(s->method),
 		string(row, "method", s->upload_bytes > 0 ? "POST" : "GET"));
 	s->from_us = seconds_us(number(row, "from_s", 0));
--- a/src/load/record.c
+++ b/src/load/record.c
@@ -67,7 +67,7 @@
 		return "none";
 	if (r->mismatch)
 		return "wrong";
-	if (r->answer_pos != r->stream->answer_bytes)
+	if (r->answer_pos != r->stream->answer_bytes && !r->stream->raw)
 		return r->code == CURLE_OK ? "short" : "cut";
 	return "ok";
 }
--- a/src/load/request.c
+++ b/src/load/request.c
@@ -39,7 +39,7 @@
 	long status = 0;
 
 	curl_easy_getinfo(r->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (status != 200 || r->mismatch) {
+	if (status != 200 || r->mismatch || r->stream->raw) {
 		r->answer_pos += len;
 		return len;
 	}
@@ -165,8 +165,11 @@
 	r->tries++;
 	if (r->sent_us == 0)
 		r->sent_us = now;
-	snprintf(url, sizeof(url), "%s%s?size=%llu", r->targets[r->target].url, s->path,
-		 (unsigned long long)s->answer_bytes);
+	if (s->raw)
+		snprintf(url, sizeof(url), "%s%s", r->targets[r->target].url, s->path);
+	else
+		snprintf(url, sizeof(url), "%s%s?size=%llu", r->targets[r->target].url, s->path,
+			 (unsigned long long)s->answer_bytes);
 	set_headers(r, left_ms);
 	curl_easy_setopt(e, CURLOPT_URL, url);
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
@@ -216,6 +219,11 @@
 	start_try(r);
 }
 
+static bool whole(const struct request *r)
+{
+	return r->stream->raw || (!r->mismatch && r->answer_pos == r->stream->answer_bytes);
+}
+
 static enum outcome judge(const struct request *r, bool sent)
 {
 	if (!sent)
--- a/tests/standins/servers/control.c
+++ b/tests/standins/servers/control.c
@@ -4,6 +4,7 @@
  *   GET /standin/cold?[...]      empties the cache of the servers (see cold_runs)
  *   GET /standin/slow?[...]&pct=N&factor=N&period_ms=N   each period another part is slow; 0: end
  *   GET /standin/stats           one row a server
+ *   GET /standin/clock           monotonic time in us, as in the run log
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -184,6 +185,11 @@
 		reply_stats(req);
 		return;
 	}
+	if (strcmp(path, "/standin/clock") == 0) {
+		snprintf(text, sizeof(text), "%llu\n", (unsigned long long)cs_mono_us());
+		cs_http_reply(req, 200, "text/plain", text, strlen(text));
+		return;
+	}
 	if (strcmp(path, "/standin/set") == 0) {
 		n = set_behaviours(req);
 	} else if (strcmp(path, "/standin/cold") == 0) {
