--- a/src/load/request.c
+++ b/src/load/request.c
@@ -229,8 +229,7 @@
 	if (!sent)
 		return OUTCOME_REFUSED;
 	if (r->code == CURLE_OK && r->status >= 200 && r->status < 300)
-		return r->mismatch || r->answer_pos != r->stream->answer_bytes ? OUTCOME_BAD
-									       : OUTCOME_OK;
+		return whole(r) ? OUTCOME_OK : OUTCOME_BAD;
 	if (r->code == CURLE_OK && strcmp(r->ran, "no") == 0)
 		return OUTCOME_REFUSED;
 	if (r->code == CURLE_OK && strcmp(r->ran, "yes") == 0)
