--- a/lib/model/model.h
+++ b/lib/model/model.h
@@ -180,7 +180,7 @@
 	uint64_t incarnation; /* boot id of its agent; 0 if never heard */
 	uint64_t revision; /* configuration revision in force there; 0 if unknown */
 	uint64_t silent_us; /* since the last message, at the time of the view */
-	uint64_t roster; /* that its proxy named last, see cs_policy_roster; 0 if unknown */
+	uint64_t roster; /* cs_policy_roster of its proxy; 0 if unknown or of another zone */
 };
 
 enum cs_server_state { CS_SERVER_READY, CS_SERVER_STARTING, CS_SERVER_DRAINING, CS_SERVER_DOWN };
@@ -240,5 +240,7 @@
 
 struct cs_view *cs_view_create(void);
 void cs_view_destroy(struct cs_view *v);
+/* Copy with own arrays and a reference to the same configuration. */
+struct cs_view *cs_view_copy(const struct cs_view *v);
 
 #endif
