--- a/lib/policy/internal.h
+++ b/lib/policy/internal.h
@@ -14,6 +14,8 @@
 #define BACKOFF_FIRST_US (1 * CS_US_PER_S)
 #define BACKOFF_MAX_US (8 * CS_US_PER_S)
 #define ROSTERS_MAX 64
+/* A third for bulk: small requests are the larger part and have the tighter targets. */
+#define BULK_PART 3
 #define BORROWS_MAX 8
 #define CHOICES 3 /* sampled servers */
 #define TICK_US (1 * CS_US_PER_MS)
@@ -215,6 +217,24 @@
 int64_t policy_wall_ms(const struct cs_policy *p, uint64_t now_us);
 struct cls *policy_class(struct cs_policy *p, unsigned class_index);
 
+/* roster.c */
+#define DIVISION 0xffffffff00000000ULL /* upper half of a roster's hash */
+#define LEAVE_PENDING 1ULL /* lower half; see cs_policy_roster */
+/* Part of a hash that covers what the division depends on. */
+uint64_t roster_division(uint64_t hash);
+/* Takes the listed instances and servers of the own zone from a view. */
+void roster_build(struct cs_policy *p, struct roster *r, const struct cs_view *v);
+void roster_free(struct roster *r);
+/* Position of an instance by the hash of its name, or -1. */
+int roster_find(const struct roster *r, uint64_t name);
+/* True if every name of a is also in b. */
+bool roster_within(const struct roster *a, const struct roster *b);
+/* True if no process of the former roster has ended, as far as names and incarnations show. */
+bool roster_nobody_left(const struct roster *former, const struct roster *now);
+/* Part of `total` units of a server that falls to this instance. */
+unsigned roster_part(const struct cs_policy *p, const struct roster *r, const struct cs_target *t,
+		     unsigned total);
+
 /* share.c */
 void share_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us);
 void share_refresh(struct cs_policy *p, uint64_t now_us);
