policy: find slowed servers by late attempts instead of latency ratios

Change: an attempt is late beyond the class's 90th percentile, also while it runs; a cumulative sum of log-likelihood ratios ejects after about four late attempts in a row. Trials come every 500 ms, and after 200 ms when a request would otherwise wait. Hedges wait for the 98th percentile while the budget is low, so that they reach the slowest requests. The baselines do without ejection.

--- a/lib/policy/budget.c
+++ b/lib/policy/budget.c
@@ -31,10 +31,16 @@
 uint64_t cs_policy_hedge_delay(struct cs_policy *p, unsigned class_index)
 {
 	struct cls *c = policy_class(p, class_index);
+	uint64_t us;
 
 	if (c == NULL || !c->conf.idempotent || c->pool == POOL_BULK || c->p95_us == 0)
 		return 0;
-	return c->p95_us > HEDGE_MIN_US ? c->p95_us : HEDGE_MIN_US;
+	/*
+	 * Five in 100 requests last longer than the 95th percentile and the budget is two: once it
+	 * runs low, hedges wait for the 98th, so that the slowest requests get them.
+	 */
+	us = c->hedge_tokens >= HEDGE_CAP / 2 ? c->p95_us : c->p98_us;
+	return us > HEDGE_MIN_US ? us : HEDGE_MIN_US;
 }
 
 struct cs_target *cs_policy_take_hedge(struct cs_policy *p, struct cs_ask *ask, uint64_t now_us)
--- a/lib/policy/choice.c
+++ b/lib/policy/choice.c
@@ -35,11 +35,11 @@
 	return NULL;
 }
 
-static double score(const struct cs_policy *p, const struct cs_target *t, uint64_t now_us)
+static double score(const struct cs_policy *p, struct cs_target *t, uint64_t now_us)
 {
 	if (p->opts.choice == CS_CHOICE_REPORTED)
 		return t->reported_load;
-	return (t->n_flights + 1) * latency_ratio(t, now_us) / warm_part(t, now_us);
+	return (t->n_flights + 1) * latency_cost(t, now_us) / warm_part(t, now_us);
 }
 
 /* Least score of CHOICES sampled targets. */
@@ -58,6 +58,14 @@
 		if (t == best || !fits(p, t, c, ask, now_us))
 			continue;
 		found++;
+		eject_check(p, t, now_us);
+		/* The check may have taken it out of the open set. */
+		if (t->open_at[c->pool] < 0) {
+			n = s->n_open[c->pool];
+			if (n == 0)
+				break;
+			continue;
+		}
 		/* An ejected server that is open is due for its one trial request. */
 		if (t->ejected)
 			return t;
@@ -88,6 +96,15 @@
 	return best;
 }
 
+/* Without any other server an ejected one gets its trial request early. */
+static struct cs_target *early_trial(struct cs_policy *p, struct cls *c, const struct cs_ask *ask,
+				     uint64_t now_us)
+{
+	struct cs_target *t = eject_early_trial(p, c->svc, now_us);
+
+	return t != NULL && fits(p, t, c, ask, now_us) ? t : NULL;
+}
+
 struct cs_target *choice_pick(struct cs_policy *p, struct cls *c, const struct cs_ask *ask,
 			      uint64_t now_us)
 {
@@ -96,7 +113,7 @@
 	struct cs_target *t = NULL;
 
 	if (n == 0)
-		return NULL;
+		return early_trial(p, c, ask, now_us);
 	switch (p->opts.choice) {
 	case CS_CHOICE_LEAST:
 		t = pick_least(p, c, ask, now_us);
@@ -109,7 +126,7 @@
 	case CS_CHOICE_RANDOM:
 		break;
 	}
-	if (t != NULL)
-		return t;
-	return scan_from(p, c, ask, cs_rng_below(&p->rng, n), now_us);
+	if (t == NULL)
+		t = scan_from(p, c, ask, cs_rng_below(&p->rng, n), now_us);
+	return t != NULL ? t : early_trial(p, c, ask, now_us);
 }
--- a/lib/policy/eject.c
+++ b/lib/policy/eject.c
@@ -4,34 +4,33 @@
  */
 #include "policy/internal.h"
 
-#define EJECT_RATIO 3.0
-#define EJECT_SAMPLES 2
+#define EJECT_DOUBT 8.0 /* four late attempts in a row */
+#define EJECT_DOUBT_AFTER 4.0 /* after a timely trial: two late attempts eject again */
 #define EJECT_ERRORS 3 /* in a row */
-#define EJECT_FIRST_US (500 * CS_US_PER_MS)
-#define EJECT_MAX_US (8 * CS_US_PER_S)
+/* Other workloads slow a server for seconds: a longer ejection would outlast the cause. */
+#define EJECT_US (500 * CS_US_PER_MS)
+/* Under pressure a trial comes earlier, because servers that recovered are missed. */
+#define EJECT_EARLY_US (200 * CS_US_PER_MS)
 #define EJECT_PART 3 /* at most one in this many servers */
 
 /* True if one more target of the service may be ejected. */
-static bool may_eject(const struct svc *s)
+static bool may_eject(const struct cs_policy *p, const struct svc *s)
 {
+	/* The other ways to choose are baselines and do without. */
+	if (p->opts.choice != CS_CHOICE_LEAST)
+		return false;
 	return (s->n_ejected + 1) * EJECT_PART <= s->n_targets;
 }
 
 static void eject(struct cs_policy *p, struct cs_target *t, uint64_t now_us)
 {
-	uint64_t us = EJECT_FIRST_US;
-	unsigned i;
-
 	if (!t->ejected) {
-		if (!may_eject(t->svc))
+		if (!may_eject(p, t->svc))
 			return;
 		t->ejected = true;
 		t->svc->n_ejected++;
 	}
-	for (i = 0; i < t->eject_count && us < EJECT_MAX_US; i++)
-		us *= 2;
-	t->eject_count++;
-	t->eject_until_us = now_us + us;
+	t->eject_us = now_us;
 	open_refresh(p, t, now_us);
 }
 
@@ -40,49 +39,56 @@
 	t->ejected = false;
 	t->svc->n_ejected--;
 	t->errors_in_row = 0;
+	latency_reset(t, EJECT_DOUBT_AFTER, now_us);
 	open_refresh(p, t, now_us);
 }
 
-void eject_outcome(struct cs_policy *p, struct cs_target *t, enum cs_outcome outcome,
+void eject_outcome(struct cs_policy *p, struct cs_target *t, enum cs_outcome outcome, bool late,
 		   uint64_t now_us)
 {
-	bool probe = t->ejected && now_us >= t->eject_until_us;
-
 	if (outcome == CS_OUTCOME_ERROR || outcome == CS_OUTCOME_UNSENT ||
 	    outcome == CS_OUTCOME_TIMEOUT)
 		t->errors_in_row++;
 	else if (outcome == CS_OUTCOME_OK)
 		t->errors_in_row = 0;
-	if (probe && outcome == CS_OUTCOME_OK && latency_ratio(t, now_us) < EJECT_RATIO) {
-		restore(p, t, now_us);
-		t->eject_count = 0;
+	if (!t->ejected) {
+		eject_check(p, t, now_us);
 		return;
 	}
-	if (probe && outcome != CS_OUTCOME_CANCELLED && outcome != CS_OUTCOME_REFUSED) {
+	/* Attempts from before the ejection and trial requests end here. */
+	if (outcome == CS_OUTCOME_OK && !late)
+		restore(p, t, now_us);
+	else if (outcome != CS_OUTCOME_REFUSED && (late || outcome != CS_OUTCOME_CANCELLED))
 		eject(p, t, now_us);
-		return;
-	}
-	eject_check(p, t, now_us);
 }
 
 void eject_check(struct cs_policy *p, struct cs_target *t, uint64_t now_us)
 {
-	bool slow;
-
 	if (t->ejected)
 		return;
-	slow = (t->samples >= EJECT_SAMPLES || t->n_flights >= EJECT_SAMPLES) &&
-	       latency_ratio(t, now_us) >= EJECT_RATIO;
-	if (slow || t->errors_in_row >= EJECT_ERRORS)
+	if (latency_doubt(t, now_us) >= EJECT_DOUBT || t->errors_in_row >= EJECT_ERRORS)
 		eject(p, t, now_us);
 }
 
+struct cs_target *eject_early_trial(struct cs_policy *p, struct svc *s, uint64_t now_us)
+{
+	struct cs_target *t;
+
+	if (s->n_ejected == 0)
+		return NULL;
+	TAILQ_FOREACH(t, &s->targets, in_svc)
+		if (t->ejected && t->n_flights == 0 && now_us >= t->eject_us + EJECT_EARLY_US &&
+		    t->listed && t->state == CS_SERVER_READY && !backoff_active(t, now_us))
+			return t;
+	return NULL;
+}
+
 bool eject_blocks(const struct cs_target *t, uint64_t now_us)
 {
 	if (!t->ejected)
 		return false;
 	/* After its time an ejected server gets one request at a time. */
-	return now_us < t->eject_until_us || t->n_flights > 0;
+	return now_us < t->eject_us + EJECT_US || t->n_flights > 0;
 }
 
 bool backoff_active(const struct cs_target *t, uint64_t now_us)
--- a/lib/policy/explain.c
+++ b/lib/policy/explain.c
@@ -58,12 +58,12 @@
 	return count;
 }
 
-static json_t *explain_target(const struct cs_target *t, unsigned pool, uint64_t now_us)
+static json_t *explain_target(struct cs_target *t, unsigned pool, uint64_t now_us)
 {
 	return json_pack("{s:s, s:s, s:i, s:i, s:i, s:f, s:b, s:b}", "server", t->name, "state",
 			 cs_server_state_name(t->state), "share", (int)t->share[pool], "in_flight",
 			 (int)t->in_flight[pool], "connections", (int)t->connections,
-			 "latency_ratio", latency_ratio(t, now_us), "ejected", (int)t->ejected,
+			 "latency_cost", latency_cost(t, now_us), "ejected", (int)t->ejected,
 			 "backoff", (int)backoff_active(t, now_us));
 }
 
--- a/lib/policy/flight.c
+++ b/lib/policy/flight.c
@@ -17,6 +17,7 @@
 	f->cls = c;
 	f->pool = (uint8_t)c->pool;
 	f->foreign = ask->hopped;
+	f->late = false;
 	f->borrowed = share_needs_loan(t, c->pool);
 	t->n_flights++;
 	t->in_flight[f->pool]++;
@@ -59,6 +60,8 @@
 	if (best == t->n_flights)
 		return false;
 	*out = t->flights[best];
+	if (best < t->n_late)
+		t->n_late--;
 	t->n_flights--;
 	memmove(&t->flights[best], &t->flights[best + 1],
 		(t->n_flights - best) * sizeof(*t->flights));
--- a/lib/policy/internal.h
+++ b/lib/policy/internal.h
@@ -31,6 +31,7 @@
 	uint8_t pool;
 	bool foreign;
 	bool borrowed; /* runs on a borrowed slot */
+	bool late; /* counted as such */
 };
 
 struct borrow {
@@ -62,13 +63,13 @@
 	unsigned n_borrows;
 	/* Running attempts. */
 	struct flight *flights;
-	unsigned n_flights, cap_flights;
+	unsigned n_flights, cap_flights, n_late;
 	unsigned in_flight[POOLS];
 	unsigned borrowed; /* of in_flight, on borrowed slots */
-	/* Latency relative to the class's usual one, see latency.c. */
-	double slow;
-	uint64_t slow_us; /* time of the last sample */
-	uint64_t fast_us; /* time of the last completion at usual speed */
+	/* Speed, see latency.c. */
+	double doubt;
+	uint64_t doubt_us;
+	double mean; /* ratio of latencies to the usual one */
 	double reported; /* ratio of the reported service time to the service's median */
 	double reported_load; /* reported requests in flight per slot */
 	uint64_t samples;
@@ -76,8 +77,7 @@
 	uint64_t warm_us; /* 0: warm */
 	/* Ejection. */
 	bool ejected;
-	unsigned eject_count;
-	uint64_t eject_until_us;
+	uint64_t eject_us; /* time of the last ejection */
 	unsigned errors_in_row;
 	/* Readiness back-off. */
 	uint64_t backoff_us; /* length of the present one; 0: none */
@@ -118,7 +118,7 @@
 	unsigned n_queue;
 	struct cs_hist hist; /* whole latencies, halved with time */
 	uint64_t hist_us; /* time of the last halving */
-	uint64_t p50_us, p95_us;
+	uint64_t p50_us, p90_us, p95_us, p98_us; /* 0: unknown */
 	uint64_t quantile_count; /* samples until the next look at the quantiles */
 	uint64_t good, bad; /* answers within and out of the target, halved with the histogram */
 	double retry_tokens, hedge_tokens;
@@ -265,17 +265,25 @@
 		uint64_t now_us, struct flight *out);
 
 /* latency.c */
-/* Expected latency at a target as a multiple of the usual one, at least 1 / RATIO_MAX. */
-double latency_ratio(const struct cs_target *t, uint64_t now_us);
-/* Usual latency of a class in us; its target before there are samples. */
-uint64_t latency_usual_us(const struct cls *c);
-void latency_sample(struct cs_target *t, struct cls *c, enum cs_outcome outcome,
+/* Time from which an attempt of the class is late, in us. */
+uint64_t latency_late_us(const struct cls *c);
+/* Evidence that the target is slowed, 0 to 9; counts running attempts that became late. */
+double latency_doubt(struct cs_target *t, uint64_t now_us);
+/* Expected latency at a target as a multiple of the usual one. */
+double latency_cost(struct cs_target *t, uint64_t now_us);
+/* Takes the end of an attempt; true if it was late. */
+bool latency_sample(struct cs_target *t, const struct flight *f, enum cs_outcome outcome,
 		    uint64_t latency_us, uint64_t now_us);
+/* Sets the doubt, as after a timely answer to a trial request. */
+void latency_reset(struct cs_target *t, double doubt, uint64_t now_us);
 void latency_report(struct cs_policy *p, struct svc *s, const struct cs_view *v);
 
 /* eject.c */
-void eject_outcome(struct cs_policy *p, struct cs_target *t, enum cs_outcome outcome,
+/* late as from latency_sample. */
+void eject_outcome(struct cs_policy *p, struct cs_target *t, enum cs_outcome outcome, bool late,
 		   uint64_t now_us);
+/* An ejected target that may take a trial request although its time is not over, or NULL. */
+struct cs_target *eject_early_trial(struct cs_policy *p, struct svc *s, uint64_t now_us);
 void eject_check(struct cs_policy *p, struct cs_target *t, uint64_t now_us);
 /* True if the target may not take a request now because it is ejected. */
 bool eject_blocks(const struct cs_target *t, uint64_t now_us);
--- a/lib/policy/latency.c
+++ b/lib/policy/latency.c
@@ -1,7 +1,8 @@
 /*
- * Latency of each target relative to the usual latency of the request's class, so that all classes
- * of a service give evidence on a server. First-hand samples count; a reported service time is used
- * only before there are any.
+ * Evidence on the speed of each target. An attempt is late if it takes longer than the class's 90th
+ * percentile, so that classes with widely spread latencies and all classes of a service count
+ * alike; it counts as soon as it is late, before it ends. First-hand evidence decides; a reported
+ * service time is used only before there is any.
  */
 #include <math.h>
 #include <stdlib.h>
@@ -9,44 +10,71 @@
 
 #include "policy/internal.h"
 
-#define WEIGHT 0.3 /* of a new sample: about three show a slowed server */
-#define WEIGHT_BULK 0.1 /* bulk latency depends on the body and the caller */
-#define RATIO_MAX 10.0
-#define RATIO_MIN 0.1
-#define FORGET_US (2.0 * CS_US_PER_S) /* time constant of the return to the usual latency */
-#define OVERDUE 2.0 /* ratio from which a running request counts as evidence */
+/*
+ * Cumulative sum of log-likelihood ratios of "slowed" against "usual": late is expected in 1 of 10
+ * attempts at a usual server and in 8 of 10 at a slowed one.
+ */
+#define LATE_WEIGHT 2.08 /* ln(0.8 / 0.1) */
+#define TIMELY_WEIGHT (-1.50) /* ln(0.2 / 0.9) */
+#define DOUBT_MAX 9.0
+/* A server that was idle is judged anew: its doubt halves in this time. */
+#define FORGET_US (2.0 * CS_US_PER_S)
+
+#define WEIGHT 0.05 /* of a sample in the mean, for servers that always differ */
+#define RATIO_MAX 4.0
+#define RATIO_MIN 0.25
 #define HIST_HALF_US (10 * CS_US_PER_S)
 #define QUANTILE_EVERY 32 /* samples between two looks at the quantiles */
 #define QUANTILE_MIN 20 /* samples before the quantiles are used */
 
-double latency_ratio(const struct cs_target *t, uint64_t now_us)
+uint64_t latency_late_us(const struct cls *c)
+{
+	if (c->p90_us > 0)
+		return c->p90_us;
+	return c->conf.latency_target_ms > 0 ? c->conf.latency_target_ms * CS_US_PER_MS
+					     : CS_US_PER_S;
+}
+
+static void doubt_add(struct cs_target *t, double weight, uint64_t now_us)
 {
-	double r = t->samples > 0 ? t->slow : t->reported;
-	const struct flight *f;
-	uint64_t since;
-
-	if (t->samples > 0 && now_us > t->slow_us && fabs(r - 1) > 0.1)
-		r = 1 + (r - 1) * exp(-(double)(now_us - t->slow_us) / FORGET_US);
-	if (t->n_flights == 0)
-		return r;
-	/* A request that started before a usual completion is a straggler, not a slow server. */
-	f = &t->flights[0];
-	since = f->start_us > t->fast_us ? f->start_us : t->fast_us;
-	if (f->pool == POOL_SMALL && now_us > since) {
-		double live = (double)(now_us - since) / (double)latency_usual_us(f->cls);
-
-		if (live > OVERDUE && live > r)
-			r = live < RATIO_MAX ? live : RATIO_MAX;
+	if (t->doubt > 0 && now_us > t->doubt_us)
+		t->doubt *= exp2(-(double)(now_us - t->doubt_us) / FORGET_US);
+	t->doubt += weight;
+	if (t->doubt < 0)
+		t->doubt = 0;
+	if (t->doubt > DOUBT_MAX)
+		t->doubt = DOUBT_MAX;
+	t->doubt_us = now_us;
+}
+
+double latency_doubt(struct cs_target *t, uint64_t now_us)
+{
+	unsigned i;
+
+	/* Flights are in order of their start: the first one that is not late ends the search. */
+	for (i = t->n_late; i < t->n_flights; i++) {
+		struct flight *f = &t->flights[i];
+
+		if (now_us < f->start_us + latency_late_us(f->cls))
+			break;
+		f->late = true;
+		t->n_late++;
+		doubt_add(t, LATE_WEIGHT, now_us);
 	}
-	return r;
+	return t->doubt;
 }
 
-uint64_t latency_usual_us(const struct cls *c)
+double latency_cost(struct cs_target *t, uint64_t now_us)
 {
-	if (c->p50_us > 0)
-		return c->p50_us;
-	return c->conf.latency_target_ms > 0 ? c->conf.latency_target_ms * CS_US_PER_MS / 2
-					     : CS_US_PER_S;
+	double mean = t->samples > 0 ? t->mean : t->reported;
+
+	return mean * (1 + latency_doubt(t, now_us));
+}
+
+void latency_reset(struct cs_target *t, double doubt, uint64_t now_us)
+{
+	t->doubt = doubt;
+	t->doubt_us = now_us;
 }
 
 static void class_sample(struct cls *c, uint64_t latency_us, uint64_t now_us)
@@ -69,41 +97,46 @@
 	if (c->hist.count < QUANTILE_MIN)
 		return;
 	c->quantile_count = QUANTILE_EVERY;
-	c->p50_us = cs_hist_quantile(&c->hist, 0.5);
-	c->p95_us = cs_hist_quantile(&c->hist, 0.95);
-	if (c->p50_us == 0)
-		c->p50_us = 1;
+	c->p50_us = cs_hist_quantile(&c->hist, 0.5) + 1;
+	c->p90_us = cs_hist_quantile(&c->hist, 0.9) + 1;
+	c->p95_us = cs_hist_quantile(&c->hist, 0.95) + 1;
+	c->p98_us = cs_hist_quantile(&c->hist, 0.98) + 1;
 }
 
-void latency_sample(struct cs_target *t, struct cls *c, enum cs_outcome outcome,
-		    uint64_t latency_us, uint64_t now_us)
+/* Mean ratio of a target's latencies to the usual one of their classes. */
+static void mean_sample(struct cs_target *t, const struct cls *c, uint64_t latency_us)
 {
-	double ratio = (double)latency_us / (double)latency_usual_us(c), old, w;
-	struct svc *s = t->svc;
+	double ratio;
 
-	/* Errors and refusals may come fast and say nothing about the time of an answer. */
-	if (outcome != CS_OUTCOME_OK && outcome != CS_OUTCOME_TIMEOUT &&
-	    outcome != CS_OUTCOME_CANCELLED)
+	if (c->p50_us == 0)
 		return;
+	ratio = (double)latency_us / (double)c->p50_us;
 	if (ratio > RATIO_MAX)
 		ratio = RATIO_MAX;
 	if (ratio < RATIO_MIN)
 		ratio = RATIO_MIN;
-	old = latency_ratio(t, now_us);
-	/* A cancelled attempt only shows that the answer takes at least this long. */
-	if (outcome == CS_OUTCOME_CANCELLED && ratio <= old)
-		return;
+	t->mean += WEIGHT * (ratio - t->mean);
+	t->samples++;
+}
+
+bool latency_sample(struct cs_target *t, const struct flight *f, enum cs_outcome outcome,
+		    uint64_t latency_us, uint64_t now_us)
+{
+	struct cls *c = f->cls;
+	bool late = f->late || latency_us > latency_late_us(c);
+	double *mean = &t->svc->service_us[c->pool];
+
 	if (outcome == CS_OUTCOME_OK) {
 		class_sample(c, latency_us, now_us);
-		s->service_us[c->pool] += (s->service_us[c->pool] == 0 ? 1.0 : 0.05) *
-					  ((double)latency_us - s->service_us[c->pool]);
-		if (ratio <= OVERDUE)
-			t->fast_us = now_us;
+		*mean += (*mean == 0 ? 1.0 : 0.05) * ((double)latency_us - *mean);
+		mean_sample(t, c, latency_us);
 	}
-	w = t->samples == 0 ? 1.0 : c->pool == POOL_BULK ? WEIGHT_BULK : WEIGHT;
-	t->slow = old + w * (ratio - old);
-	t->slow_us = now_us;
-	t->samples++;
+	if (late && !f->late)
+		doubt_add(t, LATE_WEIGHT, now_us);
+	/* Errors and refusals may come fast and say nothing about the time of an answer. */
+	if (!late && outcome == CS_OUTCOME_OK)
+		doubt_add(t, TIMELY_WEIGHT, now_us);
+	return late;
 }
 
 static int cmp_unsigned(const void *a, const void *b)
--- a/lib/policy/policy.c
+++ b/lib/policy/policy.c
@@ -276,7 +276,7 @@
 	cs_copy(t->name, sizeof(t->name), sv->name);
 	t->hash = cs_hash_str(t->name, 0);
 	t->svc = s = svc_get(p, sv->service);
-	t->slow = t->reported = 1;
+	t->mean = t->reported = 1;
 	for (k = 0; k < POOLS; k++)
 		t->open_at[k] = -1;
 	t->state = t->viewed = sv->state;
@@ -404,15 +404,16 @@
 {
 	struct cls *c = policy_class(p, class_index);
 	struct flight f;
+	bool late;
 
 	if (!flight_end(p, t, c, latency_us, now_us, &f))
 		return;
-	latency_sample(t, f.cls, outcome, latency_us, now_us);
+	late = latency_sample(t, &f, outcome, latency_us, now_us);
 	if (outcome == CS_OUTCOME_REFUSED)
 		backoff_start(t, now_us);
 	else if (outcome == CS_OUTCOME_OK || outcome == CS_OUTCOME_ERROR)
 		t->backoff_us = 0;
-	eject_outcome(p, t, outcome, now_us);
+	eject_outcome(p, t, outcome, late, now_us);
 	open_refresh(p, t, now_us);
 	if (!t->listed && t->n_flights == 0)
 		target_free(p, t);
