--- a/lib/policy/decide.c
+++ b/lib/policy/decide.c
@@ -35,11 +35,19 @@
 /* Latest time at which a request that waits can still be sent. */
 static uint64_t wait_until(const struct cls *c, const struct cs_ask *ask)
 {
-	uint64_t need = service_us(c), most, until;
+	uint64_t need = service_us(c), target = c->conf.latency_target_ms * CS_US_PER_MS;
+	uint64_t most, until;
 
-	/* Bulk requests take long anyway; small ones lose their point after the class's target. */
-	most = c->pool == POOL_BULK ? c->conf.timeout_ms * CS_US_PER_MS / 4
-				    : c->conf.latency_target_ms * CS_US_PER_MS;
+	/*
+	 * Under overload the queue is as long as it may be: what is sent from it at the last moment
+	 * must still end within the class's target. Bulk requests take long anyway.
+	 */
+	if (c->pool == POOL_BULK)
+		most = c->conf.timeout_ms * CS_US_PER_MS / 4;
+	else if (c->p90_us < target / 4 * 3)
+		most = target - c->p90_us;
+	else
+		most = target / 4;
 	until = ask->arrived_us + most;
 	if (ask->deadline_us < until + need)
 		until = ask->deadline_us > need ? ask->deadline_us - need : 0;
@@ -126,13 +134,17 @@
 		return;
 	}
 	t = choice_pick(p, c, ask, now_us);
+	/* Another zone with room is better than a slowed server that may not be ejected. */
+	if (t != NULL && may_hop && eject_wanted(t, now_us) && p->opts.choice == CS_CHOICE_LEAST &&
+	    spill_pick(p, c, ask, false, now_us, out))
+		return;
 	if (t != NULL && now_us < ask->deadline_us) {
 		flight_start(p, t, c, ask, now_us);
 		out->verdict = CS_VERDICT_SEND;
 		out->u.send.target = t;
 		return;
 	}
-	if (may_hop && spill_pick(p, c, ask, false, now_us, out))
+	if (may_hop && (spill_neighbour(p, c, out) || spill_pick(p, c, ask, false, now_us, out)))
 		return;
 	wait_or_refuse(p, c, ask, now_us, out);
 }
--- a/lib/policy/eject.c
+++ b/lib/policy/eject.c
@@ -83,6 +83,11 @@
 	return NULL;
 }
 
+bool eject_wanted(struct cs_target *t, uint64_t now_us)
+{
+	return !t->ejected && latency_doubt(t, now_us) >= EJECT_DOUBT;
+}
+
 bool eject_blocks(const struct cs_target *t, uint64_t now_us)
 {
 	if (!t->ejected)
--- a/lib/policy/internal.h
+++ b/lib/policy/internal.h
@@ -285,6 +285,8 @@
 /* An ejected target that may take a trial request although its time is not over, or NULL. */
 struct cs_target *eject_early_trial(struct cs_policy *p, struct svc *s, uint64_t now_us);
 void eject_check(struct cs_policy *p, struct cs_target *t, uint64_t now_us);
+/* True if the target looks slowed and only the bound on ejections keeps it in the choice. */
+bool eject_wanted(struct cs_target *t, uint64_t now_us);
 /* True if the target may not take a request now because it is ejected. */
 bool eject_blocks(const struct cs_target *t, uint64_t now_us);
 bool backoff_active(const struct cs_target *t, uint64_t now_us);
@@ -300,6 +302,11 @@
 /* spill.c */
 void spill_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us);
 void spill_clear(struct cs_policy *p);
+/*
+ * Chooses another instance of the own zone if this one has no share at any server of the service,
+ * as with fewer slots than instances or right after it joined.
+ */
+bool spill_neighbour(struct cs_policy *p, const struct cls *c, struct cs_decision *out);
 /* Chooses an entry instance of another zone; false if none is known to have room. */
 bool spill_pick(struct cs_policy *p, struct cls *c, const struct cs_ask *ask, bool moved,
 		uint64_t now_us, struct cs_decision *out);
--- a/lib/policy/spill.c
+++ b/lib/policy/spill.c
@@ -20,7 +20,7 @@
 static bool member_usable(const struct cs_policy *p, const struct cs_member *m)
 {
 	return m->listed && m->ready && m->state == CS_MEMBER_ALIVE &&
-	       strcmp(m->zone, p->opts.zone) != 0 && cs_config_zone(p->cfg, m->zone) >= 0;
+	       strcmp(m->name, p->opts.instance) != 0 && cs_config_zone(p->cfg, m->zone) >= 0;
 }
 
 /* One row for each zone with usable members and service; keeps what hops showed. */
@@ -33,6 +33,8 @@
 
 	for (i = 0; i < p->n_members; i++)
 		usable[cs_config_zone(p->cfg, p->members[i].zone)] = true;
+	if (p->zone >= 0)
+		usable[p->zone] = false;
 	p->rooms = cs_xcalloc((size_t)p->cfg->n_zones * p->cfg->n_services, sizeof(*p->rooms));
 	p->n_rooms = 0;
 	for (z = 0; z < p->cfg->n_zones; z++) {
@@ -136,6 +138,28 @@
 	return found;
 }
 
+static void hop_to(const struct cs_member *m, struct cs_decision *out)
+{
+	out->verdict = CS_VERDICT_HOP;
+	cs_copy(out->u.hop.instance, sizeof(out->u.hop.instance), m->name);
+	cs_copy(out->u.hop.addr, sizeof(out->u.hop.addr), m->addr);
+	cs_copy(out->u.hop.zone, sizeof(out->u.hop.zone), m->zone);
+	out->u.hop.port = m->proxy_port;
+}
+
+bool spill_neighbour(struct cs_policy *p, const struct cls *c, struct cs_decision *out)
+{
+	const struct cs_member *m;
+
+	if (c->svc->capacity[c->pool] > 0 || TAILQ_EMPTY(&c->svc->targets))
+		return false;
+	m = member_of(p, p->opts.zone);
+	if (m == NULL)
+		return false;
+	hop_to(m, out);
+	return true;
+}
+
 bool spill_pick(struct cs_policy *p, struct cls *c, const struct cs_ask *ask, bool moved,
 		uint64_t now_us, struct cs_decision *out)
 {
@@ -163,11 +187,7 @@
 	if (m == NULL)
 		return false;
 	found->sent++;
-	out->verdict = CS_VERDICT_HOP;
-	cs_copy(out->u.hop.instance, sizeof(out->u.hop.instance), m->name);
-	cs_copy(out->u.hop.addr, sizeof(out->u.hop.addr), m->addr);
-	cs_copy(out->u.hop.zone, sizeof(out->u.hop.zone), m->zone);
-	out->u.hop.port = m->proxy_port;
+	hop_to(m, out);
 	return true;
 }
 
