policy: eject after five late attempts and try again after 100 ms under pressure

Change: EJECT_DOUBT 8 to 10, early trials after 100 instead of 200 ms. Fields of struct cs_ask are sorted by size.

--- a/lib/policy/eject.c
+++ b/lib/policy/eject.c
@@ -4,13 +4,13 @@
  */
 #include "policy/internal.h"
 
-#define EJECT_DOUBT 8.0 /* four late attempts in a row */
-#define EJECT_DOUBT_AFTER 4.0 /* after a timely trial: two late attempts eject again */
+#define EJECT_DOUBT 10.0 /* five late attempts in a row */
+#define EJECT_DOUBT_AFTER 4.0 /* after a timely trial: three late attempts eject again */
 #define EJECT_ERRORS 3 /* in a row */
 /* Other workloads slow a server for seconds: a longer ejection would outlast the cause. */
 #define EJECT_US (500 * CS_US_PER_MS)
 /* Under pressure a trial comes earlier, because servers that recovered are missed. */
-#define EJECT_EARLY_US (200 * CS_US_PER_MS)
+#define EJECT_EARLY_US (100 * CS_US_PER_MS)
 #define EJECT_PART 3 /* at most one in this many servers */
 
 /* True if one more target of the service may be ejected. */
--- a/lib/policy/internal.h
+++ b/lib/policy/internal.h
@@ -267,7 +267,7 @@
 /* latency.c */
 /* Time from which an attempt of the class is late, in us. */
 uint64_t latency_late_us(const struct cls *c);
-/* Evidence that the target is slowed, 0 to 9; counts running attempts that became late. */
+/* Evidence that the target is slowed, 0 to 11; counts running attempts that became late. */
 double latency_doubt(struct cs_target *t, uint64_t now_us);
 /* Expected latency at a target as a multiple of the usual one. */
 double latency_cost(struct cs_target *t, uint64_t now_us);
--- a/lib/policy/latency.c
+++ b/lib/policy/latency.c
@@ -16,7 +16,7 @@
  */
 #define LATE_WEIGHT 2.08 /* ln(0.8 / 0.1) */
 #define TIMELY_WEIGHT (-1.50) /* ln(0.2 / 0.9) */
-#define DOUBT_MAX 9.0
+#define DOUBT_MAX 11.0
 /* A server that was idle is judged anew: its doubt halves in this time. */
 #define FORGET_US (2.0 * CS_US_PER_S)
 
--- a/lib/policy/policy.h
+++ b/lib/policy/policy.h
@@ -72,21 +72,21 @@
 
 /* One request as the policy sees it; the proxy embeds it and fills the first part. */
 struct cs_ask {
-	unsigned class_index;
 	uint64_t hash; /* of the request id */
 	uint64_t arrived_us;
 	uint64_t deadline_us;
 	uint64_t body_len; /* bytes; UINT64_MAX if unknown */
-	bool hopped; /* came from another zone's proxy */
-	bool hop_refused; /* a hop was refused or failed before running: do not hop again */
 	struct cs_target *tried[CS_TRIED_MAX]; /* servers already tried, not taken again */
+	unsigned class_index;
 	unsigned n_tried;
-	/* Owned by the policy while the request waits. */
+	bool hopped; /* came from another zone's proxy */
+	bool hop_refused; /* a hop was refused or failed before running: do not hop again */
+	/* Owned by the policy. */
+	bool waiting;
+	bool counted; /* in the budgets */
 	TAILQ_ENTRY(cs_ask) entry;
 	struct cls *queue; /* class whose queue it is in */
 	uint64_t until_us;
-	bool waiting;
-	bool counted; /* in the budgets */
 	void *arg; /* the proxy's request */
 };
 
