policy: drain by proxies first and lookups after, limit jumps

A removed drain, a start in the past or a step of the wall clock moved everything in one step.

Ruled out: lookups first and proxies after. It needs fewer hops, but a caller that carries much of a zone's traffic moves as one piece; proxies divide by request.

Change: proxies forward by cs_shift_stay; cs_shift_entry, for lookups, follows when they are done. A drain needs two ramps, one lookup time to live, the longest timeout and 5 s of margin; cs_shift_feasible states what is short. Each proxy works off a jump at one step a second.

--- a/lib/policy/internal.h
+++ b/lib/policy/internal.h
@@ -204,7 +204,8 @@
 	uint64_t wall_at_us;
 	/* Part of the own zone's requests that stays, see moved.c. */
 	double stay;
-	uint64_t stay_us; /* time of its last change */
+	uint64_t stay_us; /* time of its last change, or of the last look without a difference */
+	bool lagging; /* a jump is being worked off */
 	int zone; /* own zone in the configuration, or -1 */
 	unsigned n_targets, n_index, n_members, n_rooms, n_rosters, n_peers, n_waiting;
 };
--- a/lib/policy/moved.c
+++ b/lib/policy/moved.c
@@ -1,6 +1,4 @@
 /* The part of the own zone's requests that a drain moves, with the cap kept at each instance. */
-#include <math.h>
-
 #include "policy/internal.h"
 
 /*
@@ -11,30 +9,33 @@
 {
 	double want = cs_shift_stay(p->cfg, (unsigned)p->zone, policy_wall_ms(p, now_us));
 	double step = p->cfg->shift.cap_pct_s / 100, limit;
-	uint64_t steps;
+	uint64_t seconds;
 
-	if (want == p->stay && p->stay_us != 0)
-		return;
-	if (p->stay_us == 0 || step <= 0 || cs_fault("caps")) {
+	/* Time without a difference gives no credit for a larger step later. */
+	if (want == p->stay || p->stay_us == 0 || step <= 0 || cs_fault("caps")) {
 		p->stay = want;
 		p->stay_us = now_us;
+		p->lagging = false;
 		return;
 	}
-	steps = (now_us - p->stay_us) / CS_US_PER_S;
-	if (fabs(want - p->stay) <= step + 1e-9 && want < p->stay) {
+	/* The planned steps are taken at once, so that all instances step together. */
+	if (!p->lagging && want < p->stay && p->stay - want <= step + 1e-9) {
 		p->stay = want;
 		p->stay_us = now_us;
 		return;
 	}
-	if (steps == 0)
+	p->lagging = true;
+	seconds = (now_us - p->stay_us) / CS_US_PER_S;
+	if (seconds == 0)
 		return;
-	limit = step * (double)steps;
-	if (want < p->stay - limit)
-		want = p->stay - limit;
-	if (want > p->stay + limit)
-		want = p->stay + limit;
-	p->stay = want;
+	limit = step * (double)seconds;
 	p->stay_us = now_us;
+	if (want < p->stay - limit)
+		p->stay -= limit;
+	else if (want > p->stay + limit)
+		p->stay += limit;
+	else
+		p->stay = want;
 }
 
 bool moved_by_drain(struct cs_policy *p, uint64_t hash, uint64_t now_us)
--- a/lib/policy/policy.h
+++ b/lib/policy/policy.h
@@ -187,7 +187,7 @@
  * have moved all requests: two ramps at once would move up to twice the cap in a second.
  */
 double cs_shift_entry(const struct cs_config *cfg, unsigned zone, int64_t wall_ms);
-/* Wall-clock ms by which both ramps of a drain end under its cap, started as planned. */
+/* Wall-clock ms by which no caller is at a drained zone any more, started as planned. */
 int64_t cs_shift_end_ms(const struct cs_config *cfg, const struct cs_drain *d);
 /*
  * Checks whether a drain can end by its deadline under the cap and whether the rest of the
--- a/lib/policy/shift.c
+++ b/lib/policy/shift.c
@@ -59,12 +59,13 @@
 
 double cs_shift_entry(const struct cs_config *cfg, unsigned zone, int64_t wall_ms)
 {
-	return cs_shift_stay(cfg, zone, wall_ms - ramp_ms(cfg));
+	/* Lookups look one time to live ahead; they must not start before the proxies are done. */
+	return cs_shift_stay(cfg, zone, wall_ms - ramp_ms(cfg) - cfg->shift.lookup_ttl_ms);
 }
 
 int64_t cs_shift_end_ms(const struct cs_config *cfg, const struct cs_drain *d)
 {
-	return d->start_ms + 2 * ramp_ms(cfg);
+	return d->start_ms + 2 * ramp_ms(cfg) + cfg->shift.lookup_ttl_ms;
 }
 
 unsigned shift_longest_timeout_ms(const struct cs_config *cfg)
@@ -82,9 +83,9 @@
 			  struct cs_msg *msg)
 {
 	int64_t start = d->start_ms > wall_ms ? d->start_ms : wall_ms;
-	int64_t fixed =
-		(int64_t)cfg->shift.lookup_ttl_ms + shift_longest_timeout_ms(cfg) + MARGIN_MS;
-	int64_t have = d->deadline_ms - start, need = 2 * ramp_ms(cfg) + fixed;
+	int64_t need = cs_shift_end_ms(cfg, d) - d->start_ms +
+		       (int64_t)shift_longest_timeout_ms(cfg) + MARGIN_MS;
+	int64_t have = d->deadline_ms - start;
 
 	if (have >= need)
 		return true;
