Name an entry before cassia-lookupd is ready

The demo's first lookup was refused: the daemon was ready as soon as it had a configuration, while no member was known as ready yet. Ruled out: the store's list (all four instances were in the view). Readiness now asks the plan for an entry. Before: first lookup 503 in the demo; after: answered.

--- a/src/lookupd/admin.c
+++ b/src/lookupd/admin.c
@@ -6,9 +6,19 @@
 
 #include "src/lookupd/lookupd.h"
 
+/* Whether the plan names an entry; right after the start no member may be known as ready yet. */
+static bool has_entry(const struct lookupd *d)
+{
+	static const uint8_t any[16];
+	struct cs_located found;
+
+	return steer_plan(d->steer) != NULL &&
+	       cs_plan_locate(steer_plan(d->steer), 0, any, cs_wall_ms(), &found);
+}
+
 static bool is_ready(const struct lookupd *d)
 {
-	return steer_view(d->steer) != NULL && !d->stopping;
+	return has_entry(d) && !d->stopping;
 }
 
 static void reply_ready(struct lookupd *d, struct cs_http_req *req)
@@ -20,7 +30,7 @@
 	else if (d->stopping)
 		answer_error(req, 503, "stopping", "a planned stop has begun");
 	else
-		answer_error(req, 503, "not_ready", "no configuration yet");
+		answer_error(req, 503, "not_ready", "no configuration or no entry instance yet");
 }
 
 static void reply_metrics(struct lookupd *d, struct cs_http_req *req)
--- a/tests/run/deps.sh
+++ b/tests/run/deps.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the build's libraries and tools if any is missing. Needs root only when something is missing.
 set -euo pipefail
-pkgs="gcc make pkg-config clang-format clang-tidy cppcheck curl jq \
+pkgs="gcc make pkg-config clang-format clang-tidy cppcheck curl jq bc \
 libev-dev libzmq3-dev libmicrohttpd-dev libcurl4-openssl-dev libglib2.0-dev libjansson-dev \
 libmsgpack-dev libxxhash-dev libbsd-dev libsodium-dev"
 missing=""
