--- a/lib/wire/digest.c
+++ b/lib/wire/digest.c
@@ -1,24 +1,32 @@
 /* Digests between zones and lists within a zone. */
 #include "wire/wire-int.h"
 
-static void pack_zone(msgpack_packer *pk, const struct cs_wire_zone *z)
+#define KEY_SEED 3
+#define BRIEF_FIELDS 4
+#define WHOLE_FIELDS 10
+
+uint32_t cs_wire_key(const char *name)
+{
+	return (uint32_t)cs_hash_str(name, KEY_SEED);
+}
+
+static void pack_whole(msgpack_packer *pk, const struct cs_wire_zone *z)
 {
 	unsigned i;
 
-	msgpack_pack_array(pk, z->brief ? 7 : 9);
+	msgpack_pack_array(pk, WHOLE_FIELDS);
 	put_str(pk, z->zone);
 	put_str(pk, z->origin);
 	msgpack_pack_uint64(pk, z->stamp.incarnation);
 	msgpack_pack_uint64(pk, z->stamp.sequence);
-	msgpack_pack_uint64(pk, z->content);
+	msgpack_pack_uint32(pk, z->content);
 	msgpack_pack_uint32(pk, z->age_ms);
 	msgpack_pack_uint64(pk, z->revision);
-	if (z->brief)
-		return;
+	put_bool(pk, z->urgent);
 	msgpack_pack_array(pk, z->n_loads);
 	for (i = 0; i < z->n_loads; i++) {
 		msgpack_pack_array(pk, 7);
-		put_str(pk, z->loads[i].service);
+		msgpack_pack_uint32(pk, z->loads[i].service);
 		msgpack_pack_uint32(pk, z->loads[i].capacity);
 		msgpack_pack_uint32(pk, z->loads[i].in_flight);
 		msgpack_pack_uint32(pk, z->loads[i].waiting);
@@ -35,6 +43,19 @@
 	}
 }
 
+static void pack_zone(msgpack_packer *pk, const struct cs_wire_zone *z)
+{
+	if (!z->brief) {
+		pack_whole(pk, z);
+		return;
+	}
+	msgpack_pack_array(pk, BRIEF_FIELDS);
+	msgpack_pack_uint32(pk, z->key);
+	msgpack_pack_uint32(pk, z->mark);
+	msgpack_pack_uint64(pk, z->stamp.sequence);
+	msgpack_pack_uint32(pk, z->age_ms);
+}
+
 void pack_digest(msgpack_packer *pk, const struct cs_wire_digest *d)
 {
 	unsigned i;
@@ -44,11 +65,39 @@
 	msgpack_pack_uint64(pk, d->stamp.sequence);
 	msgpack_pack_uint64(pk, d->revision);
 	put_bool(pk, d->relayed);
+	msgpack_pack_uint32(pk, d->fresh_ms);
+	msgpack_pack_uint32(pk, d->marks);
 	msgpack_pack_array(pk, d->n_zones);
 	for (i = 0; i < d->n_zones; i++)
 		pack_zone(pk, &d->zones[i]);
 }
 
+void pack_digest_get(msgpack_packer *pk, const struct cs_wire_digest_get *g)
+{
+	unsigned i;
+
+	put_str(pk, g->instance);
+	msgpack_pack_array(pk, g->n_keys);
+	for (i = 0; i < g->n_keys; i++)
+		msgpack_pack_uint32(pk, g->keys[i]);
+}
+
+void parse_digest_get(struct reader *r, struct cs_wire_digest_get *g)
+{
+	struct reader rows;
+	uint32_t *keys;
+	unsigned i;
+
+	g->instance = read_str(r, CS_NAME_MAX);
+	if (!read_array(r, &rows))
+		return;
+	keys = arena_alloc(r->arena, rows.n, sizeof(*keys));
+	for (i = 0; i < rows.n; i++)
+		keys[i] = read_uint(&rows, UINT32_MAX);
+	g->keys = keys;
+	g->n_keys = rows.n;
+}
+
 static void parse_zone_loads(struct reader *r, struct cs_wire_zone *z)
 {
 	struct cs_wire_zone_load *l;
@@ -60,7 +109,7 @@
 	l = arena_alloc(r->arena, rows.n, sizeof(*l));
 	for (i = 0; i < rows.n; i++) {
 		row = read_row(&rows);
-		l[i].service = read_str(&row, CS_NAME_MAX);
+		l[i].service = read_uint(&row, UINT32_MAX);
 		l[i].capacity = read_uint(&row, UINT32_MAX);
 		l[i].in_flight = read_uint(&row, UINT32_MAX);
 		l[i].waiting = read_uint(&row, UINT32_MAX);
@@ -91,6 +140,20 @@
 	z->n_exceptions = rows.n;
 }
 
+static void parse_whole(struct reader *row, struct cs_wire_zone *z)
+{
+	z->zone = read_str(row, CS_NAME_MAX);
+	z->origin = read_str(row, CS_NAME_MAX);
+	z->stamp.incarnation = read_u64(row);
+	z->stamp.sequence = read_u64(row);
+	z->content = read_uint(row, UINT32_MAX);
+	z->age_ms = read_uint(row, UINT32_MAX);
+	z->revision = read_u64(row);
+	z->urgent = read_bool(row);
+	parse_zone_loads(row, z);
+	parse_exceptions(row, z);
+}
+
 void parse_digest(struct reader *r, struct cs_wire_digest *d)
 {
 	struct cs_wire_zone *z;
@@ -102,23 +165,22 @@
 	d->stamp.sequence = read_u64(r);
 	d->revision = read_u64(r);
 	d->relayed = read_bool(r);
+	d->fresh_ms = read_uint(r, UINT32_MAX);
+	d->marks = read_uint(r, UINT32_MAX);
 	if (!read_array(r, &rows))
 		return;
 	z = arena_alloc(r->arena, rows.n, sizeof(*z));
 	for (i = 0; i < rows.n; i++) {
 		row = read_row(&rows);
-		z[i].zone = read_str(&row, CS_NAME_MAX);
-		z[i].origin = read_str(&row, CS_NAME_MAX);
-		z[i].stamp.incarnation = read_u64(&row);
+		z[i].brief = row.n < WHOLE_FIELDS;
+		if (!z[i].brief) {
+			parse_whole(&row, &z[i]);
+			continue;
+		}
+		z[i].key = read_uint(&row, UINT32_MAX);
+		z[i].mark = read_uint(&row, UINT32_MAX);
 		z[i].stamp.sequence = read_u64(&row);
-		z[i].content = read_u64(&row);
 		z[i].age_ms = read_uint(&row, UINT32_MAX);
-		z[i].revision = read_u64(&row);
-		z[i].brief = row.n < 9;
-		if (z[i].brief)
-			continue;
-		parse_zone_loads(&row, &z[i]);
-		parse_exceptions(&row, &z[i]);
 	}
 	d->zones = z;
 	d->n_zones = rows.n;
--- a/lib/wire/message.c
+++ b/lib/wire/message.c
@@ -4,9 +4,9 @@
 
 #include "wire/wire-int.h"
 
-static const char *const type_names[] = {"",	       "heartbeat", "digest",	 "config_get",
-					 "config_doc", "report",    "snapshot",	 "list_get",
-					 "list_doc",   "loan_ask",  "loan_grant"};
+static const char *const type_names[] = {"",	       "heartbeat", "digest",	  "config_get",
+					 "config_doc", "report",    "snapshot",	  "list_get",
+					 "list_doc",   "loan_ask",  "loan_grant", "digest_get"};
 
 #define TYPE_MAX (sizeof(type_names) / sizeof(type_names[0]) - 1)
 
@@ -42,10 +42,10 @@
 static unsigned fields_of(enum cs_wire_type type)
 {
 	static const unsigned fields[] = {
-		[CS_WIRE_HEARTBEAT] = 12, [CS_WIRE_DIGEST] = 6,	  [CS_WIRE_CONFIG_GET] = 2,
-		[CS_WIRE_CONFIG_DOC] = 2, [CS_WIRE_REPORT] = 10,  [CS_WIRE_SNAPSHOT] = 10,
-		[CS_WIRE_LIST_GET] = 3,	  [CS_WIRE_LIST_DOC] = 5, [CS_WIRE_LOAN_ASK] = 5,
-		[CS_WIRE_LOAN_GRANT] = 5};
+		[CS_WIRE_HEARTBEAT] = 12, [CS_WIRE_DIGEST] = 8,	   [CS_WIRE_CONFIG_GET] = 2,
+		[CS_WIRE_CONFIG_DOC] = 2, [CS_WIRE_REPORT] = 10,   [CS_WIRE_SNAPSHOT] = 10,
+		[CS_WIRE_LIST_GET] = 3,	  [CS_WIRE_LIST_DOC] = 5,  [CS_WIRE_LOAN_ASK] = 5,
+		[CS_WIRE_LOAN_GRANT] = 5, [CS_WIRE_DIGEST_GET] = 2};
 
 	return fields[type];
 }
@@ -156,6 +156,9 @@
 	case CS_WIRE_DIGEST:
 		pack_digest(&pk, &m->u.digest);
 		break;
+	case CS_WIRE_DIGEST_GET:
+		pack_digest_get(&pk, &m->u.digest_get);
+		break;
 	case CS_WIRE_CONFIG_GET:
 		put_str(&pk, m->u.config_get.instance);
 		msgpack_pack_uint64(&pk, m->u.config_get.revision);
@@ -196,6 +199,9 @@
 	case CS_WIRE_DIGEST:
 		parse_digest(r, &m->u.digest);
 		break;
+	case CS_WIRE_DIGEST_GET:
+		parse_digest_get(r, &m->u.digest_get);
+		break;
 	case CS_WIRE_CONFIG_GET:
 		m->u.config_get.instance = read_str(r, CS_NAME_MAX);
 		m->u.config_get.revision = read_u64(r);
@@ -236,7 +242,8 @@
 
 	m->arena = cs_xcalloc(1, sizeof(*m->arena));
 	msgpack_unpacked_init(&up);
-	if (msgpack_unpack_next(&up, data, len, &off) != MSGPACK_UNPACK_SUCCESS || off != len) {
+	if (!wire_scan(data, len) ||
+	    msgpack_unpack_next(&up, data, len, &off) != MSGPACK_UNPACK_SUCCESS || off != len) {
 		cs_msg_set(msg, "not one whole msgpack object of %zu bytes", len);
 		goto fail;
 	}
--- a/lib/wire/wire-int.h
+++ b/lib/wire/wire-int.h
@@ -39,12 +39,17 @@
 void put_str(msgpack_packer *pk, const char *s);
 void put_bool(msgpack_packer *pk, bool v);
 
+/* True if the bytes are one whole object whose counts fit its size. */
+bool wire_scan(const uint8_t *p, size_t len);
+
 void pack_snapshot(msgpack_packer *pk, const struct cs_wire_snapshot *s);
 void parse_snapshot(struct reader *r, struct cs_wire_snapshot *s);
 void pack_report(msgpack_packer *pk, const struct cs_wire_report *rep);
 void parse_report(struct reader *r, struct cs_wire_report *rep);
 void pack_digest(msgpack_packer *pk, const struct cs_wire_digest *d);
 void parse_digest(struct reader *r, struct cs_wire_digest *d);
+void pack_digest_get(msgpack_packer *pk, const struct cs_wire_digest_get *g);
+void parse_digest_get(struct reader *r, struct cs_wire_digest_get *g);
 void pack_list(msgpack_packer *pk, const struct cs_wire_list_doc *l);
 void parse_list(struct reader *r, struct cs_wire_list_doc *l);
 void pack_load(msgpack_packer *pk, const struct cs_report_load *l);
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -11,6 +11,7 @@
 #include "model/model.h"
 
 #define CS_WIRE_VERSION 1
+#define CS_WIRE_TYPES 12 /* one above the highest type */
 #define CS_WIRE_ROWS_MAX 65536 /* rows of one array */
 
 enum cs_wire_type {
@@ -23,7 +24,8 @@
 	CS_WIRE_LIST_GET = 7,
 	CS_WIRE_LIST_DOC = 8,
 	CS_WIRE_LOAN_ASK = 9,
-	CS_WIRE_LOAN_GRANT = 10
+	CS_WIRE_LOAN_GRANT = 10,
+	CS_WIRE_DIGEST_GET = 11
 };
 
 /* Orders messages of one sender: incarnation first, then sequence. */
@@ -50,7 +52,7 @@
 
 /* Load of one service in a zone row. */
 struct cs_wire_zone_load {
-	const char *service;
+	uint32_t service; /* cs_wire_key of the name */
 	unsigned capacity, in_flight, waiting, foreign, service_us;
 	bool out_of_target;
 };
@@ -63,32 +65,48 @@
 };
 
 /*
- * One zone in a digest. content grows with each change of loads or exceptions; a row that only
- * shows that the zone is there carries no content (brief).
+ * One zone in a digest. A brief row only shows that the zone is there: key, mark, sequence and age.
+ * The mark stands for origin, incarnation and content; who does not hold a row with this mark asks
+ * for the whole row.
  */
 struct cs_wire_zone {
 	const char *zone;
 	const char *origin; /* relay that made the row */
 	struct cs_wire_stamp stamp; /* of the row, by its origin */
-	uint64_t content; /* version of loads and exceptions, by the origin */
 	uint64_t revision; /* lowest in the zone */
 	const struct cs_wire_zone_load *loads;
 	const struct cs_wire_exception *exceptions;
 	unsigned n_loads;
 	unsigned n_exceptions;
+	uint32_t key; /* cs_wire_key of the zone's name; brief */
+	uint32_t mark; /* brief */
+	uint32_t content; /* hash of loads and exceptions */
 	unsigned age_ms; /* since the origin made it */
+	bool urgent; /* passed on whole */
 	bool brief;
 };
 
 struct cs_wire_digest {
-	const char *instance; /* sender */
+	const char *instance; /* who made the digest */
 	struct cs_wire_stamp stamp;
 	uint64_t revision;
-	bool relayed; /* by a relay to its own zone */
+	bool relayed; /* by a relay to its own zone; the next two are for this case */
+	unsigned fresh_ms; /* no row that is absent is older than this */
+	uint32_t marks; /* all marks that the relay holds, by exclusive or */
 	const struct cs_wire_zone *zones;
 	unsigned n_zones;
 };
 
+/* Asks for whole rows of zones by their keys; none: all. */
+struct cs_wire_digest_get {
+	const char *instance;
+	const uint32_t *keys;
+	unsigned n_keys;
+};
+
+/* Short stand-in for a name in rows that are sent often. */
+uint32_t cs_wire_key(const char *name);
+
 struct cs_wire_config_get {
 	const char *instance;
 	uint64_t revision; /* held by the asker */
@@ -112,7 +130,7 @@
 
 struct cs_wire_list_get {
 	const char *instance;
-	const char *service; /* "": all */
+	const char *service; /* empty: all */
 	uint64_t version; /* held by the asker */
 };
 
@@ -157,6 +175,7 @@
 	union {
 		struct cs_wire_heartbeat heartbeat;
 		struct cs_wire_digest digest;
+		struct cs_wire_digest_get digest_get;
 		struct cs_wire_config_get config_get;
 		struct cs_wire_config_doc config_doc;
 		struct cs_wire_list_get list_get;
--- a/src/agentd/admin.c
+++ b/src/agentd/admin.c
@@ -84,7 +84,7 @@
 		    cs->differs);
 	set_counter(a, "cassia_config_refused_total", "reason=\"bad\"", "Documents refused.",
 		    cs->bad);
-	for (t = CS_WIRE_HEARTBEAT; t <= CS_WIRE_LOAN_GRANT; t++) {
+	for (t = CS_WIRE_HEARTBEAT; t < CS_WIRE_TYPES; t++) {
 		snprintf(labels, sizeof(labels), "type=\"%s\"",
 			 cs_wire_type_name((enum cs_wire_type)t));
 		if (cs->sends[t] == 0)
--- a/src/agentd/core-int.h
+++ b/src/agentd/core-int.h
@@ -11,6 +11,7 @@
 
 struct member {
 	RB_ENTRY(member) entry;
+	TAILQ_ENTRY(member) here_entry;
 	char name[CS_NAME_MAX];
 	char zone[CS_NAME_MAX];
 	char addr[CS_ADDR_MAX];
@@ -47,30 +48,44 @@
 	bool seen; /* while a list is taken over */
 };
 
-/* One row of loads and exceptions for a zone. */
+struct member_exception {
+	char instance[CS_NAME_MAX];
+	enum cs_member_state state;
+	bool ready;
+};
+
+/* Load of one service in a zone; the service by the key of its name. */
+struct row_load {
+	uint32_t service;
+	unsigned capacity, in_flight, waiting, foreign, service_us;
+	bool out_of_target;
+};
+
+/* What is known of a zone, as its relay said it. */
 struct zone_row {
 	RB_ENTRY(zone_row) entry;
 	char zone[CS_NAME_MAX];
+	uint32_t key;
+	unsigned n_members; /* listed */
 	char origin[CS_NAME_MAX];
-	struct cs_wire_stamp stamp;
-	uint64_t content;
+	struct cs_wire_stamp stamp; /* incarnation 0: nothing known */
+	uint32_t content, mark;
+	uint32_t from; /* key of the zone whose relay gave the row last */
 	uint64_t heard_us; /* when the origin made it, by the own clock */
 	uint64_t revision;
-	struct cs_zone_load *loads;
-	struct cs_report_load *sent; /* own zone: loads as last sent */
+	uint64_t asked_us; /* for the whole row */
+	/* Values of the core's row clock at the last change of anything and of the content. */
+	uint64_t touched, changed;
+	struct row_load *loads;
 	struct member_exception *exceptions;
-	unsigned n_loads, n_exceptions, n_sent;
-	uint64_t sent_us; /* own zone: last sent, last sent whole */
-	uint64_t sent_full_us;
-	bool fresh_out; /* to pass on to other zones */
-	bool fresh_in; /* to pass on to the own zone */
-	bool full; /* the content is new, too */
+	unsigned n_loads, n_exceptions;
+	bool urgent; /* the content is passed on whole */
 };
 
-struct member_exception {
-	char instance[CS_NAME_MAX];
-	enum cs_member_state state;
-	bool ready;
+/* One zone that this relay sends to. */
+struct edge {
+	struct zone_row *to;
+	uint64_t sent; /* row clock of the last digest */
 };
 
 /* Entries of one list as taken from the store or a peer. */
@@ -110,6 +125,7 @@
 	struct cs_config *cfg;
 	uint64_t cfg_hash;
 	struct member_tree members;
+	TAILQ_HEAD(, member) here; /* members of the own zone */
 	struct server_tree servers;
 	struct zone_tree zones;
 	LIST_HEAD(, list) lists;
@@ -120,9 +136,18 @@
 	struct cs_wire_buf scratch;
 	uint64_t sequence; /* of own messages */
 	uint64_t view_seq, config_seq, members_seq, servers_seq, loads_seq;
-	uint64_t loads_shown_us;
-	uint64_t heartbeat_due_us, digest_due_us, full_due_us, pull_us, list_pull_us, rows_pull_us;
+	uint64_t heartbeat_due_us, pull_us, list_pull_us, rows_pull_us;
 	uint64_t asked_revision;
+	/* Zone rows and their spreading. */
+	struct zone_row *own; /* of the own zone */
+	struct row_load *loads; /* of the own zone now; own->loads are as last published */
+	unsigned n_loads;
+	struct edge edges[CORE_DIRECT];
+	struct edge standby; /* from the second relay to the first */
+	uint64_t row_clock, zone_sent; /* zone_sent: row clock of the last relayed digest */
+	uint64_t published_us, content_us, relayed_us, zone_sent_us, probe_us;
+	struct cs_wire_stamp relayed; /* of the last relayed digest taken */
+	char relayed_by[CS_NAME_MAX];
 	unsigned rank; /* of this instance among the members of its zone */
 	bool heartbeat_now; /* something on it changed */
 	bool digest_now;
@@ -139,7 +164,7 @@
 struct server *server_find(struct core *c, const char *name);
 struct server *server_get(struct core *c, const char *name);
 void server_free(struct core *c, struct server *s);
-struct zone_row *zone_find(struct core *c, const char *zone);
+struct zone_row *zone_by_key(struct core *c, uint32_t key);
 struct zone_row *zone_get(struct core *c, const char *zone);
 void zone_free(struct core *c, struct zone_row *z);
 struct member *member_next(struct member *m);
@@ -163,16 +188,35 @@
 /* True if the member counts for the choice of relays. */
 bool member_usable(const struct member *m);
 /* Fills up to max relays of a zone by rendezvous hashing, best first. */
-unsigned members_relays(struct core *c, const char *zone, struct member **out, unsigned max);
+unsigned members_relays(struct core *c, const struct zone_row *zone, struct member **out,
+			unsigned max);
+/* Live members of the own zone in the order of their ranks. */
+unsigned members_order(struct core *c, struct member **out, unsigned max);
+
+/* Own zone's row. */
+void row_own_update(struct core *c, bool publish, uint64_t now_us);
+uint32_t row_mark(const struct zone_row *z);
+/* Time between two changes of a row's loads; longer with more zones. */
+uint64_t row_interval(const struct core *c);
+
+/* Rows to and from the wire. */
+struct row_space;
+struct row_space *space_create(struct core *c);
+void space_free(struct row_space *sp);
+void space_add(struct row_space *sp, const struct zone_row *z, bool whole, uint64_t now_us);
+unsigned space_count(const struct row_space *sp);
+void space_digest(struct core *c, const struct row_space *sp, struct cs_wire_msg *m);
+/* Takes one row over; false if the whole row is needed. */
+bool row_take(struct core *c, const struct cs_wire_zone *w, uint32_t from, uint64_t now_us);
 
 /* Digests. */
 void digest_tick(struct core *c, uint64_t now_us);
-void digest_take(struct core *c, const struct core_origin *from, const struct cs_wire_digest *d,
+void digest_take(struct core *c, const struct core_origin *from, const struct cs_wire_msg *m,
 		 uint64_t now_us);
-/* Answers a LIST_GET that asks for the zone rows; false if it asks for lists. */
-bool digest_get(struct core *c, const struct core_origin *from, const struct cs_wire_list_get *g,
+void digest_get(struct core *c, const struct core_origin *from, const struct cs_wire_digest_get *g,
 		uint64_t now_us);
-void digest_full_to(struct core *c, const struct core_origin *to, uint64_t now_us);
+/* All rows, whole, to a member of the own zone. */
+void digest_greet(struct core *c, const struct core_origin *to, uint64_t now_us);
 
 /* Lists. */
 void lists_doc(struct core *c, const struct core_origin *from, const struct cs_wire_list_doc *doc,
--- a/src/agentd/core-lists.c
+++ b/src/agentd/core-lists.c
@@ -93,11 +93,14 @@
 static void apply_members(struct core *c, const struct list *l, uint64_t now_us)
 {
 	const struct list_entry *e;
+	struct zone_row *z;
 	struct member *m;
 	unsigned i;
 
 	for (m = member_first(c); m != NULL; m = member_next(m))
 		m->listed = false;
+	for (z = zone_first(c); z != NULL; z = zone_next(z))
+		z->n_members = 0;
 	for (i = 0; i < l->n; i++) {
 		e = &l->entries[i];
 		m = member_get(c, e->id, e->zone, now_us);
@@ -108,6 +111,7 @@
 			m = member_get(c, e->id, e->zone, now_us);
 		}
 		m->listed = true;
+		m->row->n_members++;
 		m->list_leaving = e->leaving;
 		cs_copy(m->addr, sizeof(m->addr), e->addr);
 		m->lookup_port = e->lookup_port;
@@ -200,8 +204,8 @@
 	m.u.list_doc.n_entries = n;
 	m.u.list_doc.removed = removed;
 	m.u.list_doc.n_removed = gone;
-	for (peer = member_first(c); peer != NULL; peer = member_next(peer))
-		if (peer->here && peer != c->self)
+	TAILQ_FOREACH(peer, &c->here, here_entry)
+		if (peer != c->self)
 			core_post_member(c, peer, &m);
 	free(w);
 	free(removed);
--- a/src/agentd/core-members.c
+++ b/src/agentd/core-members.c
@@ -37,7 +37,7 @@
 		return CS_MEMBER_UNREACHABLE;
 	if (m->list_leaving)
 		return CS_MEMBER_LEAVING;
-	if (z->heard_us == 0 || silent >= CORE_SUSPECT_US)
+	if (z->heard_us == 0 || silent >= CORE_ZONE_SUSPECT_US)
 		return CS_MEMBER_SUSPECT;
 	return m->excepted ? m->except_state : CS_MEMBER_ALIVE;
 }
@@ -57,56 +57,73 @@
 	return m->state == CS_MEMBER_ALIVE || m->state == CS_MEMBER_SUSPECT;
 }
 
+/* True if the member may still be there: not leaving, not dead. */
+static bool member_listens(const struct member *m)
+{
+	return m->state != CS_MEMBER_LEAVING && m->state != CS_MEMBER_DEAD;
+}
+
 /* True if the member may be chosen; with silent also one that was not heard of lately. */
 static bool may_relay(const struct member *m, bool silent)
 {
 	if (m->here)
 		return m->state == CS_MEMBER_ALIVE && m->incarnation != 0;
-	return member_usable(m) || (silent && m->state == CS_MEMBER_UNREACHABLE);
+	return m->state == CS_MEMBER_ALIVE || (silent && member_listens(m));
+}
+
+static uint64_t weight_of(const struct member *m)
+{
+	return cs_hash_str(m->name, RENDEZVOUS_SEED);
+}
+
+/* Puts a member into an array ordered by weight, best first, of at most max. */
+static unsigned rank_insert(struct member **out, unsigned n, unsigned max, struct member *m)
+{
+	unsigned i;
+
+	for (i = n; i > 0 && weight_of(out[i - 1]) < weight_of(m); i--)
+		if (i < max)
+			out[i] = out[i - 1];
+	if (i >= max)
+		return n;
+	out[i] = m;
+	return n < max ? n + 1 : n;
 }
 
-static unsigned rank_members(struct core *c, const char *zone, bool silent, struct member **out,
-			     unsigned max)
+unsigned members_order(struct core *c, struct member **out, unsigned max)
 {
-	uint64_t weights[CORE_RELAYS + 1] = {0}, w;
-	const struct zone_row *row = zone_find(c, zone);
 	struct member *m;
-	unsigned n = 0, i;
+	unsigned n = 0;
 
-	for (m = member_first(c); m != NULL; m = member_next(m)) {
-		if (m->row != row || !may_relay(m, silent))
-			continue;
-		w = cs_hash_str(m->name, RENDEZVOUS_SEED);
-		for (i = n; i > 0 && weights[i - 1] < w; i--) {
-			weights[i] = weights[i - 1];
-			if (i < max)
-				out[i] = out[i - 1];
-		}
-		if (i >= max)
-			continue;
-		weights[i] = w;
-		out[i] = m;
-		n += n < max;
-	}
+	TAILQ_FOREACH(m, &c->here, here_entry)
+		if (may_relay(m, false))
+			n = rank_insert(out, n, max, m);
 	return n;
 }
 
-unsigned members_relays(struct core *c, const char *zone, struct member **out, unsigned max)
+unsigned members_relays(struct core *c, const struct zone_row *zone, struct member **out,
+			unsigned max)
 {
-	unsigned n;
+	struct member *m;
+	unsigned n = 0;
 
-	if (max > CORE_RELAYS)
-		max = CORE_RELAYS;
-	n = rank_members(c, zone, false, out, max);
+	if (zone == c->own)
+		return members_order(c, out, max);
+	for (m = member_first(c); m != NULL; m = member_next(m))
+		if (m->row == zone && may_relay(m, false))
+			n = rank_insert(out, n, max, m);
 	/* A zone that is silent is tried on, so that both sides find each other again. */
-	return n > 0 ? n : rank_members(c, zone, true, out, max);
+	for (m = n == 0 ? member_first(c) : NULL; m != NULL; m = member_next(m))
+		if (m->row == zone && may_relay(m, true))
+			n = rank_insert(out, n, max, m);
+	return n;
 }
 
 /* Rank of this instance in its zone; 0 if it knows no other live one. */
 static unsigned own_rank(struct core *c)
 {
 	struct member *relays[CORE_RELAYS];
-	unsigned n = members_relays(c, c->opts.zone, relays, CORE_RELAYS), i;
+	unsigned n = members_order(c, relays, CORE_RELAYS), i;
 
 	for (i = 0; i < n; i++)
 		if (relays[i] == c->self)
@@ -142,8 +159,8 @@
 	bool ok = c->store_ok;
 	struct member *m;
 
-	for (m = member_first(c); m != NULL && !ok; m = member_next(m))
-		ok = m->here && m != c->self && m->store_ok && m->state == CS_MEMBER_ALIVE;
+	TAILQ_FOREACH(m, &c->here, here_entry)
+		ok |= m != c->self && m->store_ok && m->state == CS_MEMBER_ALIVE;
 	if (ok != c->store_shown)
 		c->view_seq++;
 	c->store_shown = ok;
@@ -236,7 +253,7 @@
 	heartbeat_fill(c, &m);
 	core_post(c, from, &m);
 	if (here)
-		digest_full_to(c, from, now_us);
+		digest_greet(c, from, now_us);
 }
 
 void members_heartbeat(struct core *c, const struct core_origin *from,
@@ -297,8 +314,8 @@
 	c->heartbeat_now = false;
 	c->heartbeat_due_us = now_us + CORE_HEARTBEAT_US;
 	heartbeat_fill(c, &m);
-	for (peer = member_first(c); peer != NULL; peer = member_next(peer)) {
-		if (!peer->here || peer == c->self || peer->bus_port == 0)
+	TAILQ_FOREACH(peer, &c->here, here_entry) {
+		if (peer == c->self || peer->bus_port == 0)
 			continue;
 		core_post_member(c, peer, &m);
 		known += peer->state == CS_MEMBER_ALIVE;
--- /dev/null
+++ b/src/agentd/core-rows.c
@@ -0,0 +1,223 @@
+/* Core: rows of zones to and from the wire. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "core-int.h"
+
+#define AGE_MAX_MS 600000
+
+struct row_space {
+	struct cs_wire_zone *zones;
+	struct cs_wire_zone_load *loads;
+	struct cs_wire_exception *exceptions;
+	unsigned n, n_loads, n_exceptions;
+};
+
+struct row_space *space_create(struct core *c)
+{
+	struct row_space *sp = cs_xcalloc(1, sizeof(*sp));
+	unsigned n = 0, n_loads = 0, n_ex = 0;
+	struct zone_row *z;
+
+	for (z = zone_first(c); z != NULL; z = zone_next(z)) {
+		n++;
+		n_loads += z->n_loads;
+		n_ex += z->n_exceptions;
+	}
+	sp->zones = cs_xcalloc(n, sizeof(*sp->zones));
+	sp->loads = cs_xcalloc(n_loads, sizeof(*sp->loads));
+	sp->exceptions = cs_xcalloc(n_ex, sizeof(*sp->exceptions));
+	return sp;
+}
+
+void space_free(struct row_space *sp)
+{
+	free(sp->zones);
+	free(sp->loads);
+	free(sp->exceptions);
+	free(sp);
+}
+
+unsigned space_count(const struct row_space *sp)
+{
+	return sp->n;
+}
+
+static void add_content(struct row_space *sp, struct cs_wire_zone *w, const struct zone_row *z)
+{
+	unsigned i;
+
+	w->loads = &sp->loads[sp->n_loads];
+	w->n_loads = z->n_loads;
+	w->exceptions = &sp->exceptions[sp->n_exceptions];
+	w->n_exceptions = z->n_exceptions;
+	for (i = 0; i < z->n_loads; i++)
+		sp->loads[sp->n_loads++] =
+			(struct cs_wire_zone_load){.service = z->loads[i].service,
+						   .capacity = z->loads[i].capacity,
+						   .in_flight = z->loads[i].in_flight,
+						   .waiting = z->loads[i].waiting,
+						   .foreign = z->loads[i].foreign,
+						   .service_us = z->loads[i].service_us,
+						   .out_of_target = z->loads[i].out_of_target};
+	for (i = 0; i < z->n_exceptions; i++)
+		sp->exceptions[sp->n_exceptions++] =
+			(struct cs_wire_exception){.instance = z->exceptions[i].instance,
+						   .state = z->exceptions[i].state,
+						   .ready = z->exceptions[i].ready};
+}
+
+void space_add(struct row_space *sp, const struct zone_row *z, bool whole, uint64_t now_us)
+{
+	struct cs_wire_zone *w = &sp->zones[sp->n++];
+	uint64_t age = now_us > z->heard_us ? (now_us - z->heard_us) / CS_US_PER_MS : 0;
+
+	w->brief = !whole;
+	w->key = z->key;
+	w->mark = z->mark;
+	w->stamp = z->stamp;
+	w->age_ms = age > AGE_MAX_MS ? AGE_MAX_MS : (unsigned)age;
+	if (!whole)
+		return;
+	w->zone = z->zone;
+	w->origin = z->origin;
+	w->content = z->content;
+	w->revision = z->revision;
+	w->urgent = z->urgent;
+	add_content(sp, w, z);
+}
+
+void space_digest(struct core *c, const struct row_space *sp, struct cs_wire_msg *m)
+{
+	struct cs_wire_digest *d = &m->u.digest;
+
+	m->type = CS_WIRE_DIGEST;
+	d->instance = c->opts.instance;
+	d->stamp.incarnation = c->opts.incarnation;
+	d->stamp.sequence = ++c->sequence;
+	d->revision = c->cfg ? c->cfg->revision : 0;
+	d->zones = sp->zones;
+	d->n_zones = sp->n;
+}
+
+/* True if the whole row replaces what is held. */
+static bool row_wins(const struct zone_row *z, const struct cs_wire_zone *w, uint64_t now_us)
+{
+	uint64_t age = now_us > z->heard_us ? now_us - z->heard_us : 0;
+
+	if (z->stamp.incarnation == 0)
+		return true;
+	/* Two relays that both take themselves for the first: the later made row counts. */
+	if (strcmp(z->origin, w->origin) != 0)
+		return w->age_ms < age / CS_US_PER_MS;
+	if (w->stamp.incarnation != z->stamp.incarnation)
+		return w->stamp.incarnation > z->stamp.incarnation ||
+		       age >= CORE_INCARNATION_HOLD_US;
+	return w->stamp.sequence > z->stamp.sequence;
+}
+
+/* Marks the members of the zone that the row excepts. */
+static void apply_exceptions(struct core *c, const struct zone_row *z)
+{
+	struct member *m;
+	unsigned i;
+
+	for (m = member_first(c); m != NULL; m = member_next(m))
+		if (m->row == z)
+			m->excepted = false;
+	for (i = 0; i < z->n_exceptions; i++) {
+		m = member_find(c, z->exceptions[i].instance);
+		if (m == NULL || m->row != z)
+			continue;
+		m->excepted = true;
+		m->except_state = z->exceptions[i].state;
+		m->except_ready = z->exceptions[i].ready;
+	}
+}
+
+static void take_content(struct core *c, struct zone_row *z, const struct cs_wire_zone *w)
+{
+	unsigned i;
+
+	free(z->loads);
+	free(z->exceptions);
+	z->loads = cs_xcalloc(w->n_loads, sizeof(*z->loads));
+	z->exceptions = cs_xcalloc(w->n_exceptions, sizeof(*z->exceptions));
+	z->n_loads = w->n_loads;
+	z->n_exceptions = w->n_exceptions;
+	for (i = 0; i < w->n_loads; i++)
+		z->loads[i] = (struct row_load){.service = w->loads[i].service,
+						.capacity = w->loads[i].capacity,
+						.in_flight = w->loads[i].in_flight,
+						.waiting = w->loads[i].waiting,
+						.foreign = w->loads[i].foreign,
+						.service_us = w->loads[i].service_us,
+						.out_of_target = w->loads[i].out_of_target};
+	for (i = 0; i < w->n_exceptions; i++) {
+		cs_copy(z->exceptions[i].instance, sizeof(z->exceptions[i].instance),
+			w->exceptions[i].instance);
+		z->exceptions[i].state = w->exceptions[i].state;
+		z->exceptions[i].ready = w->exceptions[i].ready;
+	}
+	z->content = w->content;
+	z->urgent = w->urgent;
+	z->changed = ++c->row_clock;
+	apply_exceptions(c, z);
+	view_loads_changed(c);
+}
+
+/* Moves the time at which the row was made; it never goes back. */
+static void row_heard(struct zone_row *z, unsigned age_ms, uint64_t now_us)
+{
+	uint64_t age = (uint64_t)age_ms * CS_US_PER_MS, heard = now_us > age ? now_us - age : 1;
+
+	if (heard > z->heard_us)
+		z->heard_us = heard;
+}
+
+static bool take_brief(struct core *c, const struct cs_wire_zone *w, uint32_t from, uint64_t now_us)
+{
+	struct zone_row *z = zone_by_key(c, w->key);
+	uint64_t age;
+
+	if (z == c->own)
+		return true;
+	if (z == NULL || z->stamp.incarnation == 0)
+		return false;
+	if (z->mark != w->mark) {
+		age = now_us > z->heard_us ? (now_us - z->heard_us) / CS_US_PER_MS : 0;
+		return w->age_ms >= age;
+	}
+	if (w->stamp.sequence <= z->stamp.sequence)
+		return true;
+	z->stamp.sequence = w->stamp.sequence;
+	z->from = from;
+	z->touched = ++c->row_clock;
+	row_heard(z, w->age_ms, now_us);
+	return true;
+}
+
+bool row_take(struct core *c, const struct cs_wire_zone *w, uint32_t from, uint64_t now_us)
+{
+	struct zone_row *z;
+	uint32_t content;
+
+	if (w->brief)
+		return take_brief(c, w, from, now_us);
+	z = zone_get(c, w->zone);
+	if (z == c->own || !row_wins(z, w, now_us))
+		return true;
+	content = z->content;
+	cs_copy(z->origin, sizeof(z->origin), w->origin);
+	z->stamp = w->stamp;
+	z->from = from;
+	if (z->revision != w->revision)
+		view_members_changed(c);
+	z->revision = w->revision;
+	row_heard(z, w->age_ms, now_us);
+	if (z->changed == 0 || content != w->content)
+		take_content(c, z, w);
+	z->mark = row_mark(z);
+	z->touched = ++c->row_clock;
+	return true;
+}
--- a/src/agentd/core-view.c
+++ b/src/agentd/core-view.c
@@ -80,20 +80,44 @@
 	}
 }
 
+/* Name of a service by its key, or NULL if the configuration has none. */
+static const char *service_name(const struct core *c, uint32_t key)
+{
+	unsigned i;
+
+	for (i = 0; c->cfg != NULL && i < c->cfg->n_services; i++)
+		if (cs_wire_key(c->cfg->services[i].name) == key)
+			return c->cfg->services[i].name;
+	return NULL;
+}
+
 static void view_loads(struct core *c, struct cs_view *v, uint64_t now_us)
 {
+	const struct row_load *l;
 	struct cs_zone_load *out;
 	struct zone_row *z;
+	const char *name;
 	unsigned i, n = 0;
 
 	for (z = zone_first(c); z != NULL; z = zone_next(z))
 		n += z->n_loads;
 	v->loads = cs_xcalloc(n, sizeof(*v->loads));
-	v->n_loads = n;
-	out = v->loads;
 	for (z = zone_first(c); z != NULL; z = zone_next(z)) {
-		for (i = 0; i < z->n_loads; i++, out++) {
-			*out = z->loads[i];
+		for (i = 0; i < z->n_loads; i++) {
+			l = &z->loads[i];
+			name = service_name(c, l->service);
+			if (name == NULL)
+				continue;
+			out = &v->loads[v->n_loads++];
+			cs_copy(out->zone, sizeof(out->zone), z->zone);
+			cs_copy(out->service, sizeof(out->service), name);
+			out->version = z->changed;
+			out->capacity = l->capacity;
+			out->in_flight = l->in_flight;
+			out->waiting = l->waiting;
+			out->foreign = l->foreign;
+			out->service_us = l->service_us;
+			out->out_of_target = l->out_of_target;
 			out->age_us = since(z->heard_us, now_us);
 		}
 	}
--- a/src/agentd/core.c
+++ b/src/agentd/core.c
@@ -22,8 +22,11 @@
 	return strcmp(a->name, b->name);
 }
 
+/* By key, so that brief rows are found; two names with one key would share its brief rows. */
 static int zone_cmp(struct zone_row *a, struct zone_row *b)
 {
+	if (a->key != b->key)
+		return a->key < b->key ? -1 : 1;
 	return strcmp(a->zone, b->zone);
 }
 
@@ -38,11 +41,13 @@
 	c->opts.peers = c->peers;
 	cs_rng_seed(&c->rng, opts->seed);
 	RB_INIT(&c->members);
+	TAILQ_INIT(&c->here);
 	RB_INIT(&c->servers);
 	RB_INIT(&c->zones);
 	LIST_INIT(&c->lists);
 	TAILQ_INIT(&c->sends);
 	c->view_seq = 1;
+	c->own = zone_get(c, opts->zone);
 	c->self = member_get(c, opts->instance, opts->zone, now_us);
 	c->self->incarnation = opts->incarnation;
 	c->heartbeat_now = true;
@@ -71,6 +76,7 @@
 		LIST_REMOVE(l, next);
 		list_free(l);
 	}
+	free(c->loads);
 	free(c->daemons[0].loads);
 	free(c->daemons[1].loads);
 	cs_config_unref(c->cfg);
@@ -101,12 +107,16 @@
 	m->state = CS_MEMBER_SUSPECT;
 	m->heard_us = now_us;
 	RB_INSERT(member_tree, &c->members, m);
+	if (m->here)
+		TAILQ_INSERT_TAIL(&c->here, m, here_entry);
 	return m;
 }
 
 void member_free(struct core *c, struct member *m)
 {
 	RB_REMOVE(member_tree, &c->members, m);
+	if (m->here)
+		TAILQ_REMOVE(&c->here, m, here_entry);
 	free(m->loads);
 	free(m);
 }
@@ -158,22 +168,25 @@
 	return RB_NEXT(server_tree, NULL, s);
 }
 
-struct zone_row *zone_find(struct core *c, const char *zone)
+struct zone_row *zone_by_key(struct core *c, uint32_t key)
 {
-	struct zone_row key;
+	struct zone_row search = {.key = key}, *z;
 
-	cs_copy(key.zone, sizeof(key.zone), zone);
-	return RB_FIND(zone_tree, &c->zones, &key);
+	z = RB_NFIND(zone_tree, &c->zones, &search);
+	return z != NULL && z->key == key ? z : NULL;
 }
 
 struct zone_row *zone_get(struct core *c, const char *zone)
 {
-	struct zone_row *z = zone_find(c, zone);
+	struct zone_row search = {.key = cs_wire_key(zone)}, *z;
 
+	cs_copy(search.zone, sizeof(search.zone), zone);
+	z = RB_FIND(zone_tree, &c->zones, &search);
 	if (z != NULL)
 		return z;
 	z = cs_xcalloc(1, sizeof(*z));
 	cs_copy(z->zone, sizeof(z->zone), zone);
+	z->key = search.key;
 	RB_INSERT(zone_tree, &c->zones, z);
 	return z;
 }
@@ -182,7 +195,6 @@
 {
 	RB_REMOVE(zone_tree, &c->zones, z);
 	free(z->loads);
-	free(z->sent);
 	free(z->exceptions);
 	free(z);
 }
@@ -246,9 +258,12 @@
 		members_heartbeat(c, from, &m->u.heartbeat, now_us);
 		break;
 	case CS_WIRE_DIGEST:
-		digest_take(c, from, &m->u.digest, now_us);
+		digest_take(c, from, m, now_us);
 		config_seen(c, from, m->u.digest.revision, now_us);
 		break;
+	case CS_WIRE_DIGEST_GET:
+		digest_get(c, from, &m->u.digest_get, now_us);
+		break;
 	case CS_WIRE_CONFIG_GET: {
 		struct cs_wire_msg out = {.type = CS_WIRE_CONFIG_DOC};
 
@@ -264,8 +279,7 @@
 		core_config(c, m->u.config_doc.text, m->u.config_doc.len, now_us, &msg);
 		break;
 	case CS_WIRE_LIST_GET:
-		if (!digest_get(c, from, &m->u.list_get, now_us))
-			lists_get(c, from, &m->u.list_get);
+		lists_get(c, from, &m->u.list_get);
 		break;
 	case CS_WIRE_LIST_DOC:
 		lists_doc(c, from, &m->u.list_doc, now_us);
@@ -351,12 +365,16 @@
 
 void core_resume(struct core *c, uint64_t now_us)
 {
+	struct zone_row *z;
 	struct member *m;
 
 	c->stale = true;
-	for (m = member_first(c); m != NULL; m = member_next(m))
-		if (m->here && m->state <= CS_MEMBER_SUSPECT)
+	TAILQ_FOREACH(m, &c->here, here_entry)
+		if (m->state <= CS_MEMBER_SUSPECT)
 			m->heard_us = now_us;
+	for (z = zone_first(c); z != NULL; z = zone_next(z))
+		if (z->heard_us != 0)
+			z->heard_us = now_us;
 	c->heartbeat_now = true;
 	c->view_seq++;
 }
--- a/src/agentd/core.h
+++ b/src/agentd/core.h
@@ -12,7 +12,7 @@
 #include "wire/wire.h"
 
 /* All in us. */
-#define CORE_TICK_US (250 * CS_US_PER_MS)
+#define CORE_TICK_US (100 * CS_US_PER_MS)
 #define CORE_HEARTBEAT_US CS_US_PER_S
 #define CORE_SUSPECT_US (2 * CS_US_PER_S)
 #define CORE_UNREACHABLE_US (3 * CS_US_PER_S)
@@ -20,9 +20,13 @@
 #define CORE_INCARNATION_HOLD_US (10 * CS_US_PER_S)
 #define CORE_FORGET_US (60 * CS_US_PER_S) /* an unlisted silent member */
 #define CORE_REPORT_LIMIT_US (750 * CS_US_PER_MS) /* a daemon is dead after three missed reports */
-#define CORE_ROW_OTHER_US (1500 * CS_US_PER_MS) /* a row of another origin replaces one this old */
-#define CORE_ROW_FULL_US (5 * CS_US_PER_S) /* unchanged loads are sent whole this often */
-#define CORE_FANOUT 4 /* zones that a relay sends to in a round */
+/* Rows of other zones pass several relays on their way. */
+#define CORE_ZONE_SUSPECT_US (2500 * CS_US_PER_MS)
+#define CORE_STANDBY_US                                                                            \
+	(1500 * CS_US_PER_MS) /* silence of the first relay before the second acts */
+#define CORE_EDGES 4 /* zones that a relay sends to; all others are reached through them */
+#define CORE_DIRECT 5 /* up to this many other zones, it sends to all of them */
+#define CORE_ZONE_FANOUT 4 /* members that one member passes relayed digests on to */
 #define CORE_RELAYS 2 /* relays and watchers of a zone */
 
 /* Where a message came from: a peer of the listener, or the far end of an own connection. */
@@ -71,7 +75,7 @@
 struct core_stats {
 	uint64_t accepted, older, differs, bad; /* documents */
 	uint64_t stale; /* messages behind the incarnation or sequence held */
-	uint64_t sends[CS_WIRE_LOAN_GRANT + 1], send_bytes[CS_WIRE_LOAN_GRANT + 1];
+	uint64_t sends[CS_WIRE_TYPES], send_bytes[CS_WIRE_TYPES];
 };
 
 struct core;
--- a/tests/unit/test-wire.c
+++ b/tests/unit/test-wire.c
@@ -80,25 +80,29 @@
 /* Guards against loads and exceptions of zone rows that get lost or change places. */
 static void test_digest(void)
 {
-	struct cs_wire_zone_load l = {.service = "orders", .capacity = 8, .foreign = 3};
+	struct cs_wire_zone_load l = {.service = 0xffffffff, .capacity = 8, .foreign = 3};
 	struct cs_wire_exception e = {.instance = "b-2", .state = CS_MEMBER_UNREACHABLE};
 	struct cs_wire_zone z[2] = {{.zone = "b",
 				     .origin = "b-1",
 				     .stamp = {5, 6},
 				     .content = 4,
 				     .age_ms = 250,
+				     .urgent = true,
 				     .revision = 12,
 				     .loads = &l,
 				     .n_loads = 1,
 				     .exceptions = &e,
 				     .n_exceptions = 1},
-				    {.zone = "c", .origin = "c-1", .stamp = {1, 2}, .brief = true}};
+				    {.key = 17, .mark = 18, .stamp = {0, 2}, .brief = true}};
 	struct cs_wire_msg m = {.type = CS_WIRE_DIGEST}, *out;
 
 	m.u.digest.instance = "b-1";
 	m.u.digest.zones = z;
 	m.u.digest.n_zones = 2;
 	m.u.digest.revision = 12;
+	m.u.digest.relayed = true;
+	m.u.digest.fresh_ms = 20;
+	m.u.digest.marks = 19;
 	out = round_trip(&m);
 	g_assert_cmpuint(out->u.digest.n_zones, ==, 2);
 	g_assert_false(out->u.digest.zones[0].brief);
@@ -107,7 +111,14 @@
 	g_assert_cmpuint(out->u.digest.zones[0].loads[0].foreign, ==, 3);
 	g_assert_cmpstr(out->u.digest.zones[0].exceptions[0].instance, ==, "b-2");
 	g_assert_cmpint(out->u.digest.zones[0].exceptions[0].state, ==, CS_MEMBER_UNREACHABLE);
+	g_assert_cmpuint(out->u.digest.zones[0].loads[0].service, ==, 0xffffffff);
+	g_assert_true(out->u.digest.zones[0].urgent);
 	g_assert_cmpuint(out->u.digest.zones[1].stamp.sequence, ==, 2);
+	g_assert_cmpuint(out->u.digest.zones[1].key, ==, 17);
+	g_assert_cmpuint(out->u.digest.zones[1].mark, ==, 18);
+	g_assert_cmpuint(out->u.digest.marks, ==, 19);
+	g_assert_cmpuint(out->u.digest.fresh_ms, ==, 20);
+	g_assert_true(out->u.digest.relayed);
 	cs_wire_free(out);
 }
 
@@ -237,6 +248,7 @@
 /* Guards against crashes and half-read messages when bytes are cut off or changed. */
 static void test_damaged(void)
 {
+	static const uint8_t huge[] = {0x93, 1, 3, 0xdd, 0xff, 0xff, 0xff, 0xff};
 	struct cs_wire_msg m = heartbeat(), *out;
 	struct cs_wire_buf b = {0};
 	struct cs_rng rng;
@@ -256,6 +268,8 @@
 		out = cs_wire_parse(copy, b.len, &msg);
 		cs_wire_free(out);
 	}
+	/* An array that claims four thousand million elements. */
+	g_assert_null(cs_wire_parse(huge, sizeof(huge), &msg));
 	copy[0] = (char)0x92;
 	copy[1] = CS_WIRE_VERSION + 1;
 	copy[2] = CS_WIRE_HEARTBEAT;
