--- a/lib/policy/share.c
+++ b/lib/policy/share.c
@@ -8,43 +8,14 @@
 
 #include "policy/internal.h"
 
-#define RANK_SEED 0x5a1e
-#define HOME_SEED 0x407e
-
 /* Slots of one server by pool, and its connections, under one configuration. */
 struct limits {
 	unsigned slots[POOLS];
 	unsigned connections;
 };
 
-static void roster_free(struct roster *r);
-static void roster_build(struct cs_policy *p, struct roster *r, const struct cs_view *v);
 static uint64_t hold_us(const struct cs_policy *p, const struct roster *r, const struct svc *s);
 
-static int cmp_u64(const void *a, const void *b)
-{
-	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
-
-	return x < y ? -1 : x > y;
-}
-
-static int cmp_server(const void *a, const void *b)
-{
-	const struct roster_server *x = a, *y = b;
-
-	if (x->svc != y->svc)
-		return x->svc < y->svc ? -1 : 1;
-	return x->name < y->name ? -1 : x->name > y->name;
-}
-
-/* Order of preference between two hashes, the same at every instance. */
-static uint64_t pair_hash(uint64_t server, uint64_t instance, uint64_t seed)
-{
-	uint64_t pair[2] = {server, instance};
-
-	return cs_hash(pair, sizeof(pair), seed);
-}
-
 /* Limits of a server; reported slots lower the configured ones but never raise them. */
 static void limits_of(const struct cs_config *cfg, const struct cs_target *t, struct limits *l)
 {
@@ -72,116 +43,52 @@
 	else if (bulk_classes && slots == 1)
 		bulk = t->hash & 1;
 	else if (bulk_classes)
-		bulk = slots < 3 ? 1 : slots / 3;
+		bulk = slots < BULK_PART ? 1 : slots / BULK_PART;
 	l->slots[POOL_BULK] = bulk;
 	l->slots[POOL_SMALL] = slots - bulk;
 	l->connections = cfg->services[si].connections;
 }
 
-/* Position of a hash in a sorted array, or -1. */
-static int find_u64(const uint64_t *a, unsigned n, uint64_t v)
-{
-	const uint64_t *at = bsearch(&v, a, n, sizeof(*a), cmp_u64);
-
-	return at == NULL ? -1 : (int)(at - a);
-}
-
-/* True if every name of a is also in b. */
-static bool names_within(const struct roster *a, const struct roster *b)
-{
-	unsigned i;
-
-	for (i = 0; i < a->n; i++)
-		if (find_u64(b->names, b->n, a->names[i]) < 0)
-			return false;
-	return true;
-}
-
-static const uint64_t *homes_of(const struct roster *r, uint64_t svc)
+/* True if some listed peer last named another division, or runs more than its share of this one. */
+static bool peer_differs(const struct cs_policy *p, const struct roster *now)
 {
 	unsigned i;
 
-	for (i = 0; i < r->n_homes; i++)
-		if (r->homes[i].svc == svc)
-			return r->homes[i].server;
-	return NULL;
-}
-
-static bool knows_server(const struct roster *r, const struct cs_target *t)
-{
-	struct roster_server key = {cs_hash_str(t->svc->name, 0), t->hash};
-
-	return bsearch(&key, r->servers, r->n_servers, sizeof(key), cmp_server) != NULL;
-}
-
-/*
- * Part of `total` units of a server that falls to this instance under a roster: whole units, the
- * remainder by rendezvous hash. With fewer units than instances, instances whose preferred server
- * this is come first, so that hardly any instance is left without a share at every server.
- */
-static unsigned part_of(const struct cs_policy *p, const struct roster *r,
-			const struct cs_target *t, unsigned total)
-{
-	const uint64_t *homes = NULL;
-	unsigned base, rest, i, ahead = 0;
-	uint64_t mine;
-	int me = find_u64(r->names, r->n, p->self);
-	bool home;
-
-	if (me < 0 || r->n == 0)
-		return 0;
-	base = total / r->n;
-	rest = total % r->n;
-	if (rest == 0)
-		return base;
-	if (base == 0) {
-		if (!knows_server(r, t))
-			return 0;
-		homes = homes_of(r, cs_hash_str(t->svc->name, 0));
-	}
-	mine = pair_hash(t->hash, p->self, RANK_SEED);
-	home = homes != NULL && homes[me] == t->hash;
-	for (i = 0; i < r->n; i++) {
-		uint64_t other;
-		bool other_home;
-
-		if ((int)i == me)
+	for (i = 0; i < p->n_peers; i++) {
+		if (p->peers[i].name == p->self || p->peers[i].roster == 0)
 			continue;
-		other = pair_hash(t->hash, r->names[i], RANK_SEED);
-		other_home = homes != NULL && homes[i] == t->hash;
-		if (other_home != home ? other_home : other > mine)
-			ahead++;
+		if (roster_find(now, p->peers[i].name) < 0)
+			continue;
+		if (roster_division(p->peers[i].roster) != roster_division(now->hash) ||
+		    roster_division(p->peers[i].roster) == p->peers[i].roster)
+			return true;
 	}
-	return base + (ahead < rest);
+	return false;
 }
 
-/* True if some listed peer last named another roster than the present one. */
-static bool peer_differs(const struct cs_policy *p, const struct roster *now)
+/* True if some process that may still have requests at servers has left the rosters. */
+static bool leave_pending(const struct cs_policy *p)
 {
 	unsigned i;
 
-	for (i = 0; i < p->n_peers; i++) {
-		if (p->peers[i].name == p->self || p->peers[i].roster == 0)
-			continue;
-		if (find_u64(now->names, now->n, p->peers[i].name) < 0)
-			continue;
-		if (p->peers[i].roster != now->hash)
+	for (i = 0; i + 1 < p->n_rosters; i++)
+		if (!roster_nobody_left(&p->rosters[i], &p->rosters[p->n_rosters - 1]))
 			return true;
-	}
 	return false;
 }
 
-/* True if all listed peers named the present roster last. */
+/* True if all listed peers named the present roster lately. */
 static bool peers_agree(const struct cs_policy *p, const struct roster *now)
 {
 	unsigned i, agreed = 0;
 
-	if (find_u64(now->names, now->n, p->self) < 0)
+	if (roster_find(now, p->self) < 0 || leave_pending(p))
 		return false;
 	for (i = 0; i < p->n_peers; i++) {
-		if (p->peers[i].name == p->self || p->peers[i].roster != now->hash)
+		if (p->peers[i].name == p->self || p->peers[i].roster != now->hash ||
+		    !p->peers[i].fresh)
 			continue;
-		if (find_u64(now->names, now->n, p->peers[i].name) >= 0)
+		if (roster_find(now, p->peers[i].name) >= 0)
 			agreed++;
 	}
 	return agreed + 1 == now->n;
@@ -199,7 +106,7 @@
 
 	if (r == now || now_us < r->left_us + hold_us(p, r, s))
 		return true;
-	if (r->hash != 0 && r->limits == now->limits && names_within(now, r))
+	if (r->hash != 0 && r->limits == now->limits && roster_within(now, r))
 		return false;
 	return peer_differs(p, now);
 }
@@ -244,11 +151,11 @@
 			continue;
 		limits_of(r->cfg != NULL ? r->cfg : p->cfg, t, &l);
 		for (k = 0; k < POOLS; k++) {
-			part = part_of(p, r, t, l.slots[k]);
+			part = roster_part(p, r, t, l.slots[k]);
 			if (part < t->share[k])
 				t->share[k] = part;
 		}
-		part = part_of(p, r, t, l.connections);
+		part = roster_part(p, r, t, l.connections);
 		if (part < t->connections)
 			t->connections = part;
 	}
@@ -264,7 +171,6 @@
 /* Drops former rosters that bound nothing any more and finds the next time to look. */
 static void rosters_prune(struct cs_policy *p, uint64_t now_us)
 {
-	const struct roster *now;
 	struct svc *s;
 	unsigned i = 0;
 	bool agree;
@@ -277,7 +183,6 @@
 		struct roster *r = &p->rosters[i];
 		bool counts = false;
 
-		now = &p->rosters[p->n_rosters - 1];
 		TAILQ_FOREACH(s, &p->svcs, entry) {
 			uint64_t due = r->left_us + hold_us(p, r, s);
 
@@ -286,8 +191,11 @@
 			if (due > now_us && due < p->share_due_us)
 				p->share_due_us = due;
 		}
-		/* Requests of an instance that left may still run, so its roster is held. */
-		if (agree && names_within(r, now))
+		/*
+		 * Agreement ends only the time before the first view. A roster that this instance
+		 * named is held: a peer may return to it and count on what it heard then.
+		 */
+		if (agree && r->hash == 0)
 			counts = false;
 		if (counts)
 			i++;
@@ -310,110 +218,6 @@
 		open_refresh_all(p, s, now_us);
 }
 
-static void roster_free(struct roster *r)
-{
-	unsigned i;
-
-	for (i = 0; i < r->n_homes; i++)
-		free(r->homes[i].server);
-	free(r->homes);
-	free(r->names);
-	free(r->servers);
-	cs_config_unref(r->cfg);
-}
-
-/* Finds the preferred server of each instance for the services that need it. */
-static void roster_homes(struct cs_policy *p, struct roster *r)
-{
-	unsigned i, j, first = 0, last;
-
-	for (; first < r->n_servers; first = last) {
-		uint64_t svc = r->servers[first].svc;
-		struct roster_home *h;
-
-		for (last = first; last < r->n_servers && r->servers[last].svc == svc; last++)
-			;
-		r->homes = cs_xrealloc(r->homes, r->n_homes + 1, sizeof(*r->homes));
-		h = &r->homes[r->n_homes++];
-		h->svc = svc;
-		h->server = cs_xcalloc(r->n, sizeof(*h->server));
-		for (i = 0; i < r->n; i++) {
-			uint64_t best = 0;
-
-			for (j = first; j < last; j++) {
-				uint64_t x = pair_hash(r->servers[j].name, r->names[i], HOME_SEED);
-
-				if (x >= best) {
-					best = x;
-					h->server[i] = r->servers[j].name;
-				}
-			}
-		}
-	}
-}
-
-/* True if some service has fewer slots of a kind at a server than the roster has instances. */
-static bool roster_is_thin(const struct cs_config *cfg, unsigned n)
-{
-	unsigned i;
-
-	for (i = 0; i < cfg->n_services; i++)
-		if (cfg->services[i].slots / 3 < n)
-			return true;
-	return false;
-}
-
-/* Hash of all of a configuration that the division depends on. */
-static uint64_t limits_hash(const struct cs_config *cfg)
-{
-	uint64_t h = 1;
-	unsigned i;
-
-	for (i = 0; i < cfg->n_services; i++) {
-		uint64_t one[3] = {cs_hash_str(cfg->services[i].name, 0), cfg->services[i].slots,
-				   cfg->services[i].connections};
-
-		h = cs_hash(one, sizeof(one), h);
-	}
-	for (i = 0; i < cfg->n_classes; i++) {
-		uint64_t one[2] = {cfg->classes[i].service, cfg->classes[i].bulk};
-
-		h = cs_hash(one, sizeof(one), h);
-	}
-	return h;
-}
-
-/* Takes the listed instances and servers of the own zone from a view. */
-static void roster_build(struct cs_policy *p, struct roster *r, const struct cs_view *v)
-{
-	const struct cs_config *cfg = p->cfg;
-	uint64_t h = 0;
-	unsigned i;
-
-	memset(r, 0, sizeof(*r));
-	r->cfg = cs_config_ref(p->cfg);
-	r->names = cs_xcalloc(v->n_members, sizeof(*r->names));
-	for (i = 0; i < v->n_members; i++)
-		if (v->members[i].listed && strcmp(v->members[i].zone, p->opts.zone) == 0)
-			r->names[r->n++] = cs_hash_str(v->members[i].name, 0);
-	qsort(r->names, r->n, sizeof(*r->names), cmp_u64);
-	r->servers = cs_xcalloc(v->n_servers, sizeof(*r->servers));
-	for (i = 0; i < v->n_servers; i++) {
-		if (strcmp(v->servers[i].zone, p->opts.zone) != 0)
-			continue;
-		r->servers[r->n_servers].svc = cs_hash_str(v->servers[i].service, 0);
-		r->servers[r->n_servers++].name = cs_hash_str(v->servers[i].name, 0);
-	}
-	qsort(r->servers, r->n_servers, sizeof(*r->servers), cmp_server);
-	r->limits = limits_hash(cfg);
-	if (roster_is_thin(cfg, r->n)) {
-		r->limits = cs_hash(r->servers, r->n_servers * sizeof(*r->servers), r->limits);
-		roster_homes(p, r);
-	}
-	h = cs_hash(r->names, r->n * sizeof(*r->names), r->limits);
-	r->hash = h != 0 ? h : 1;
-}
-
 static void loans_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us)
 {
 	struct cs_target *t;
@@ -483,8 +287,7 @@
 	free(p->peers);
 }
 
-void cs_policy_peer_roster(struct cs_policy *p, const char *instance, uint64_t roster,
-			   uint64_t now_us)
+bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster, bool fresh)
 {
 	uint64_t name = cs_hash_str(instance, 0);
 	unsigned i;
@@ -494,39 +297,21 @@
 	if (i == p->n_peers) {
 		p->peers = cs_xrealloc(p->peers, i + 1, sizeof(*p->peers));
 		p->peers[p->n_peers++].name = name;
-	} else if (p->peers[i].roster == roster) {
-		return;
+		p->peers[i].roster = 0;
+		p->peers[i].fresh = false;
 	}
+	if (p->peers[i].roster == roster && p->peers[i].fresh == fresh)
+		return false;
 	p->peers[i].roster = roster;
-	if (p->n_rosters > 1)
-		share_refresh(p, now_us);
+	p->peers[i].fresh = fresh;
+	return true;
 }
 
-uint64_t cs_policy_roster(const struct cs_policy *p)
+void cs_policy_peer_roster(struct cs_policy *p, const char *instance, uint64_t roster,
+			   uint64_t now_us)
 {
-	const struct roster *now;
-	const struct cs_target *t;
-	unsigned i, k;
-
-	if (p->n_rosters < 2 && (p->n_rosters == 0 || p->rosters[0].hash == 0))
-		return 0;
-	now = &p->rosters[p->n_rosters - 1];
-	for (i = 0; i + 1 < p->n_rosters; i++)
-		if (!names_within(&p->rosters[i], now))
-			return 0;
-	TAILQ_FOREACH(t, &p->all, in_all) {
-		unsigned run = 0, own = 0;
-
-		for (k = 0; k < POOLS; k++) {
-			run += t->in_flight[k];
-			own += t->share[k];
-			if (t->in_flight[k] > t->share[k] + t->borrowed)
-				return 0;
-		}
-		if (run > own + t->borrowed)
-			return 0;
-	}
-	return now->hash;
+	if (peer_set(p, instance, roster, true) && p->n_rosters > 1)
+		share_refresh(p, now_us);
 }
 
 /* Pool that loans apply to: the small one unless the service has bulk classes only. */
@@ -535,6 +320,28 @@
 	return t->svc->bulk_only ? POOL_BULK : POOL_SMALL;
 }
 
+/* True if more requests run at some server than the share in force allows. */
+static bool over_share(const struct cs_policy *p)
+{
+	const struct cs_target *t;
+	unsigned k;
+
+	TAILQ_FOREACH(t, &p->all, in_all)
+		for (k = 0; k < POOLS; k++)
+			if (t->in_flight[k] > t->share[k] + (k == loan_pool(t) ? t->borrowed : 0))
+				return true;
+	return false;
+}
+
+uint64_t cs_policy_roster(const struct cs_policy *p)
+{
+	uint64_t hash = p->n_rosters > 0 ? p->rosters[p->n_rosters - 1].hash : 0;
+
+	if (hash == 0 || over_share(p))
+		return hash & DIVISION;
+	return leave_pending(p) ? (hash & DIVISION) | LEAVE_PENDING : hash;
+}
+
 /* Slots of the own share that are not lent. */
 static unsigned own_slots(const struct cs_target *t, unsigned pool)
 {
