--- a/src/proxyd/attempt.c
+++ b/src/proxyd/attempt.c
@@ -159,13 +159,29 @@
 	curl_easy_setopt(att->easy, CURLOPT_HTTPHEADER, att->lines);
 }
 
+/*
+ * Holds the connections to one server within this instance's part of its limit. Bulk and small
+ * requests have pools of their own, so that each pool gets half.
+ */
+static void limit_connections(struct proxyd *p, enum lane lane, const struct cs_target *t)
+{
+	long limit = cs_target_connections(t) / 2;
+
+	if (limit < 1)
+		limit = 1;
+	if (p->lane_limits[lane] == limit)
+		return;
+	p->lane_limits[lane] = limit;
+	curl_multi_setopt(cs_curl_multi(p->lanes[lane]), CURLMOPT_MAX_HOST_CONNECTIONS, limit);
+}
+
 /* Starts the transfer; once: on a connection of its own, used for nothing else. */
 static void attempt_send(struct attempt *att)
 {
 	struct request *req = att->req;
 	struct proxyd *p = req->proxyd;
 	bool once = !req->idempotent && !cs_fault("attempts");
-	bool hop = att->kind == ATTEMPT_HOP;
+	enum lane lane = req->bulk ? LANE_BULK : LANE_SMALL;
 	char url[CS_ADDR_MAX + 24];
 	CURL *e = att->easy;
 
@@ -178,10 +194,11 @@
 	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, once ? 1L : 0L);
 	set_body(att);
 	set_lines(att);
-	if (hop)
-		att->curl = p->lanes[req->bulk ? LANE_HOP_BULK : LANE_HOP_SMALL];
+	if (att->kind == ATTEMPT_HOP)
+		lane = req->bulk ? LANE_HOP_BULK : LANE_HOP_SMALL;
 	else
-		att->curl = p->lanes[req->bulk ? LANE_BULK : LANE_SMALL];
+		limit_connections(p, lane, att->target);
+	att->curl = p->lanes[lane];
 	att->running = true;
 	cs_curl_start(att->curl, e, on_done, att);
 }
@@ -339,8 +356,9 @@
 	const char *id = head_get(&att->head, "X-Request-Id");
 
 	if (id != NULL && strcmp(id, att->req->id) != 0) {
-		cs_log(CS_ERR, "attempt", "Answer is not to this request. peer=%s id=%s got=%.64s",
-		       att->name, att->req->id, id);
+		cs_log(CS_WARNING, "attempt",
+		       "Answer is not to this request. peer=%s id=%s got=%.64s", att->name,
+		       att->req->id, id);
 		return false;
 	}
 	att->head_done = true;
--- a/src/proxyd/intake.c
+++ b/src/proxyd/intake.c
@@ -1,4 +1,5 @@
 /* Checks of a new request and the header lines that go on to servers. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -185,7 +186,8 @@
 	bool framed = read_framing(req, s);
 	char message[160];
 
-	cs_random_id(req->id, sizeof(req->id), "r-");
+	snprintf(req->id, sizeof(req->id), "r-%016llx",
+		 (unsigned long long)cs_rng_next(&req->proxyd->ids));
 	if (s->id != NULL && !check_request_id(s->id)) {
 		bad(req, 400, "bad_request_id",
 		    "X-Request-Id must be 1 to 64 of A-Z a-z 0-9 . _ -");
--- a/src/proxyd/main.c
+++ b/src/proxyd/main.c
@@ -103,6 +103,7 @@
 	opts.choice = (enum cs_choice)cs_setting_int(settings, "choice");
 	opts.backoff = (enum cs_backoff_mode)cs_setting_int(settings, "backoff");
 	opts.seed = cs_random_u64();
+	cs_rng_seed(&p->ids, cs_random_u64());
 	p->policy = cs_policy_create(&opts);
 	p->outcomes = outcomes_create(OUTCOME_ENTRIES_MAX, OUTCOME_BYTES_MAX, OUTCOME_KEEP_US);
 	p->sockets = sockets_create();
--- a/src/proxyd/proxyd.h
+++ b/src/proxyd/proxyd.h
@@ -174,6 +174,7 @@
 	struct cs_policy *policy;
 	struct cs_link *link;
 	struct cs_curl *lanes[LANE_MAX];
+	long lane_limits[LANE_MAX]; /* connections to one server */
 	struct sockets *sockets;
 	struct MHD_Daemon *daemon;
 	struct cs_mhd *mhd;
@@ -186,6 +187,7 @@
 	LIST_HEAD(, conn) conns;
 	LIST_HEAD(, discard) lingers;
 	unsigned n_pool, n_conns, n_requests, n_lingers;
+	struct cs_rng ids; /* of request ids; a system call for each would be slow */
 	bool pump; /* waiting requests may go on */
 	ev_prepare before;
 	ev_signal term, intr;
--- a/src/proxyd/server.c
+++ b/src/proxyd/server.c
@@ -8,7 +8,7 @@
 #include "src/proxyd/proxyd.h"
 
 /* Bytes MHD may use for one connection: headers over HEAD_MAX still fit, so that we answer them. */
-#define CONNECTION_MEMORY (128 * 1024)
+#define CONNECTION_MEMORY (32 * 1024)
 #define CONNECTION_LIMIT 20000
 /* MHD closes a connection that is idle, or slow in sending its headers, after this time. */
 #define IDLE_TIMEOUT_S 30
--- /dev/null
+++ b/tests/run/proxy-lib.sh
@@ -0,0 +1,137 @@
+# Shared by check.d/proxy-*.sh: starts one proxy with an agent stand-in and two faulty servers on
+# addresses of its own, and ends them at exit. Sourced, not run.
+set -u
+cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 1
+build=${BUILD:-build}
+run=$((RANDOM % 200 + 20))
+dir=$(mktemp -d)
+pids=""
+failures=0
+proxy=127.$run.1.1
+url=http://$proxy:8080
+
+cleanup() {
+	# shellcheck disable=SC2086
+	[ -n "$pids" ] && kill -9 $pids 2>/dev/null
+	wait 2>/dev/null
+	rm -rf "$dir"
+}
+trap cleanup EXIT
+
+# Starts a program in the background; its output goes to NAME.log, its id to pid_NAME.
+start() {
+	local name=$1
+	shift
+	"$@" >"$dir/$name.log" 2>&1 &
+	eval "pid_$name=$!"
+	pids="$pids $!"
+	disown
+}
+
+# wait_for SECONDS COMMAND...: until the command succeeds.
+wait_for() {
+	local end=$((SECONDS + $1))
+	shift
+	until "$@" >/dev/null 2>&1; do
+		[ $SECONDS -ge $end ] && return 1
+		sleep 0.05
+	done
+}
+
+# ok WHAT COMMAND...: counts a failure if the command fails.
+ok() {
+	local what=$1
+	shift
+	if "$@"; then
+		echo "ok - $what"
+	else
+		echo "not ok - $what"
+		failures=$((failures + 1))
+	fi
+}
+
+# has TEXT PATTERN: the text has a line that matches.
+has() {
+	grep -qE -- "$2" <<<"$1" && return 0
+	printf 'missing: %s\nin: %.2000s\n' "$2" "$1"
+	return 1
+}
+hasnt() {
+	! has "$1" "$2" >/dev/null && return 0
+	printf 'unwanted: %s\nin: %.2000s\n' "$2" "$1"
+	return 1
+}
+
+# call CLASS PATH CURL-ARGUMENTS...: head and body of the answer.
+call() {
+	local class=$1 path=$2
+	shift 2
+	curl -sS -m 20 -i -H "X-Cassia-Class: $class" "$@" "$url$path" 2>&1
+}
+
+# raw TEXT SECONDS: sends bytes as they are, prints what comes back.
+raw() {
+	exec 3<>"/dev/tcp/$proxy/8080"
+	# shellcheck disable=SC2059
+	printf "$1" >&3
+	timeout "${2:-1}" cat <&3
+	exec 3>&- 3<&-
+}
+
+# runs ID: how often a request ran at all servers.
+runs() {
+	cat "$dir"/runs.* 2>/dev/null | grep -c "^run $1 "
+}
+
+metric() {
+	curl -sS -m 5 "$url/_cassia/metrics" | awk -v m="$1" '$1 == m {print $2}'
+}
+
+# Writes view.json: one service in zone z1 with two servers; SLOTS a server.
+write_view() {
+	local slots=${1:-200} zone=${2:-z1} revision=${3:-1}
+	class() {
+		printf '{"name":"%s","service":"svc","idempotent":%s,"bulk":%s,"latency_target_ms":%d,"percentile":99,"availability_pct":99.9,"headroom_pct":0,"max_body_kb":%d,"timeout_ms":%d,"priority":1}' "$@"
+	}
+	cat >"$dir/view.tmp" <<END
+{"config":{"format":1,"deployment":"test","revision":$revision,"changes":[],
+"network":{"zone_delay_ms":1,"region_delay_ms":20,"link_mbit_s":4000},
+"regions":[{"name":"r1"}],
+"zones":[{"name":"z1","region":"r1","clients":["10.1.0.0/16"]},{"name":"z2","region":"r1","clients":["10.2.0.0/16"]}],
+"services":[{"name":"svc","slots":$slots,"connections":360}],
+"classes":[$(class lookups true false 1000 64 3000),$(class bookings false false 1000 64 3000),$(class photos true true 8000 65536 50000)],
+"shift":{"cap_pct_s":5,"lookup_ttl_ms":1000},"drains":[]},
+"members":[{"name":"p1","zone":"z1","addr":"$proxy","proxy_port":8080},{"name":"p2","zone":"z2","addr":"127.$run.2.1","proxy_port":8080}],
+"servers":[{"name":"s1","service":"svc","zone":"$zone","addr":"127.$run.1.11","port":9001,"slots":$slots},
+{"name":"s2","service":"svc","zone":"$zone","addr":"127.$run.1.12","port":9002,"slots":$slots}],
+"loads":[{"zone":"$zone","service":"svc","capacity":$((slots * 2)),"in_flight":0,"service_us":1000}]}
+END
+	mv "$dir/view.tmp" "$dir/view.json"
+}
+
+start_servers() {
+	start s1 "$build/bin/standin-faulty" 127.$run.1.11 9001 "$dir/runs.1"
+	start s2 "$build/bin/standin-faulty" 127.$run.1.12 9002 "$dir/runs.2"
+	start agent "$build/bin/standin-agent" "$proxy" 7003 "$dir/view.json"
+}
+
+start_proxy() {
+	start proxy "${PROXYD:-$build/bin/cassia-proxyd}" --instance p1 --zone z1 --address "$proxy" --port 8080 \
+		--agent "tcp://$proxy:7003"
+	if ! wait_for 10 curl -sSf "$url/_cassia/readyz"; then
+		echo "not ok - the proxy is not ready"
+		cat "$dir"/*.log
+		exit 1
+	fi
+}
+
+finish() {
+	ok "the proxy still runs" kill -0 "$pid_proxy"
+	ok "no error in the log" hasnt "$(cat "$dir/proxy.log")" '^<[0-3]>|ERROR: AddressSanitizer|runtime error'
+	done_checks
+}
+done_checks() {
+	echo "$failures failures"
+	[ $failures -eq 0 ]
+	exit
+}
--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -364,6 +364,19 @@
 	send_text(p, 200, "", "stray\n");
 }
 
+/* The same, and the second answer names the request that it answers. */
+static void do_late_named(struct peer *p, long long n)
+{
+	char line[128];
+
+	if (!run_request(p))
+		return;
+	send_text(p, 200, "", "first\n");
+	usleep((useconds_t)(n * 1000));
+	snprintf(line, sizeof(line), "X-Request-Id: %s\r\n", p->id);
+	send_text(p, 200, line, "stray\n");
+}
+
 static void do_upload(struct peer *p, long long n)
 {
 	char text[160];
@@ -441,6 +454,7 @@
 	{"/slow-even/", do_slow_even},
 	{"/drop/", do_drop},
 	{"/late/", do_late},
+	{"/late-named/", do_late_named},
 	{"/upload", do_upload},
 	{"/slow-upload/", do_slow_upload},
 	{"/drip/", do_drip},
