--- /dev/null
+++ b/tests/run/check.d/ctl-deployment.sh
@@ -0,0 +1,94 @@
+#!/usr/bin/env bash
+# Guards against operators' commands that fail or tell wrong figures on a running deployment: reading
+# in a store outage, a drain from start to end, the refusal of a drain without capacity, burn rates.
+set -u
+cd "$(dirname "$0")/../../.."
+. tests/run/deploy.sh
+CAP_PCT_S=50 LOOKUP_TTL_MS=500
+deploy_topology small
+CLASSES=$(echo "$CLASSES" | jq -c '.timeout_ms = 4000 | .latency_target_ms = 200')
+SERVER_BEHAVIOUR='{"service_ms":20}'
+deploy_start
+export CASSIA_STORE=consul:http://127.$RUN.0.1:$STORE_PORT CASSIA_BY=anna
+ctl=$DEPLOY_BIN/cassiactl
+agent=127.$RUN.1.10:$ADMIN_PORT
+
+# expect CODE TEXT COMMAND...: runs cassiactl, checks the exit code and that the output has the text.
+expect() {
+	local code=$1 text=$2 rc
+	shift 2
+	"$ctl" "$@" >"$RUNDIR/out" 2>&1
+	rc=$?
+	[ $rc -eq "$code" ] && grep -q -- "$text" "$RUNDIR/out" && return
+	cat "$RUNDIR/out"
+	die "cassiactl $*: exit code $rc, expected $code with '$text'"
+}
+
+# until_ok SECONDS COMMAND...
+until_ok() {
+	local end=$((SECONDS + $1))
+	shift
+	until "$@" >/dev/null 2>&1; do
+		[ $SECONDS -lt $end ] || {
+			"$ctl" zones
+			"$ctl" status
+			"$ctl" locate status "127.$RUN.2.200"
+			die "not within the time: $*"
+		}
+		sleep 0.2
+	done
+}
+
+json() { "$ctl" "$@" --json; }
+has_capacity() { [ "$(json zones | jq '[.[] | select(.capacity > 0)] | length')" = 4 ]; }
+
+until_ok 15 has_capacity
+expect 0 "4 listed, 4 answer, 4 ready, 0 at another revision" status
+[ "$(json servers --service orders | jq length)" = 6 ] || die "not all servers of orders are shown"
+expect 0 "orders" classes
+expect 0 "nearest zone" locate status "127.$RUN.1.200"
+first_zone_is() { [ "$(json locate status "$1" | jq -r '.entries[0].zone')" = "$2" ]; }
+until_ok 15 first_zone_is "127.$RUN.1.200" north-a
+until_ok 15 first_zone_is "127.$RUN.2.200" south-a
+expect 1 "did you mean status?" locate statu "127.$RUN.1.200"
+
+# Reading while the store is down.
+store_control 'set?outage=refuse' >/dev/null
+expect 6 "--instance IP:PORT" status
+expect 0 "read from an instance" status --instance "$agent"
+expect 0 '"deployment": "small"' show --instance "$agent"
+expect 0 "north-a" zones --instance "$agent"
+expect 0 "nearest zone" locate status "127.$RUN.1.200" --instance "$agent"
+expect 6 "nothing was written" class set status priority=3 --instance "$agent"
+store_control 'set?outage=none' >/dev/null
+
+# Requests in north-a that all miss a target of 1 ms use the budget of that class only.
+expect 0 "accepted" class set status latency_target_ms=1
+until_ok 10 bash -c "'$ctl' status | grep -q '4 ready, 0 at another revision'"
+sleep 1
+seq 40 | xargs -P 4 -I{} curl -s -m 5 --interface "127.$RUN.1.200" -o /dev/null -H 'X-Cassia-Class: status' \
+	"http://127.$RUN.1.10:$PROXY_PORT/{}"
+json burn --samples 3 --interval 1 --html "$RUNDIR/burn.html" --record "$RUNDIR/burn.jsonl" >"$RUNDIR/burn.json" ||
+	die "burn failed"
+jq -e '.classes[] | select(.class == "status") | (.windows[-1].latency_burn > 50)
+	and .zones["north-a"].requests == 40 and .zones["north-a"].within == 0' "$RUNDIR/burn.json" >/dev/null ||
+	die "burn of status: $(jq -c '.classes[] | select(.class == "status")' "$RUNDIR/burn.json")"
+jq -e '.classes[] | select(.class == "payments") | .windows[-1] | .requests == 0 and .latency_burn == 0' \
+	"$RUNDIR/burn.json" >/dev/null || die "burn of payments is not 0"
+[ "$(wc -l <"$RUNDIR/burn.jsonl")" = 3 ] || die "the record has not three samples"
+if ! grep -q '<svg' "$RUNDIR/burn.html" || grep -qE 'src=|href=|NaN|nan' "$RUNDIR/burn.html"; then
+	die "the page lacks plots, loads something or has no number"
+fi
+expect 0 "all" top --interval 1 --samples 1
+expect 0 "servers:" explain status --from north-a-1
+expect 1 "no proxy knows" explain nosuch
+
+# A drain that the rest cannot take is refused with the figure; one that fits runs to its end.
+expect 3 "time is short by" drain start north-a --deadline +5s
+expect 0 "accepted" drain start north-a --deadline +30s
+expect 0 "ramping\|emptying" drain status
+expect 0 "north-a done: 0% stays, 0 in flight" drain status north-a --wait
+first_zone_is "127.$RUN.1.200" south-a ||
+	die "a caller of a drained zone is told an instance of it first"
+expect 0 "accepted" drain cancel north-a
+echo "ok"
--- /dev/null
+++ b/tests/unit/test-ctl.c
@@ -0,0 +1,236 @@
+/* Tests of cassiactl's calculations: times, counters over restarts, burn rates, phases of drains. */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "src/ctl/burn.h"
+#include "src/ctl/drain.h"
+
+static const char config[] =
+	"{\"format\":1,\"deployment\":\"test\",\"revision\":3,"
+	"\"network\":{\"zone_delay_ms\":1,\"region_delay_ms\":20,\"link_mbit_s\":4000},"
+	"\"regions\":[{\"name\":\"r\"}],"
+	"\"zones\":[{\"name\":\"a\",\"region\":\"r\"},{\"name\":\"b\",\"region\":\"r\"}],"
+	"\"services\":[{\"name\":\"s\",\"slots\":9,\"connections\":360}],"
+	"\"classes\":[{\"name\":\"lookups\",\"service\":\"s\",\"idempotent\":true,"
+	"\"latency_target_ms\":100,\"timeout_ms\":1000,\"percentile\":99,\"availability_pct\":99.9}"
+	"],"
+	"\"shift\":{\"cap_pct_s\":50,\"lookup_ttl_ms\":2000},"
+	"\"drains\":[{\"id\":\"d-1\",\"zone\":\"a\",\"start\":\"2026-12-06T20:00:00Z\","
+	"\"deadline\":\"2026-12-06T21:00:00Z\"}]}";
+
+static struct cs_config *parse_config(void)
+{
+	struct cs_msg msg = {""};
+	struct cs_config *cfg = cs_config_parse(config, strlen(config), &msg);
+
+	g_assert_cmpstr(msg.text, ==, "");
+	return cfg;
+}
+
+/* Guards against deadlines that are read wrongly, or before the time that was asked for. */
+static void test_drain_time(void)
+{
+	static const char *const bad[] = {"",	   "+",		 "+h",	 "4h",	 "+4",
+					  "+4x",   "+-1h",	 "+0s",	 "+1hh", "now",
+					  "+1e9d", "2026-12-06", "+nanh"};
+	int64_t ms;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		if (drain_time(bad[i], 1000, &ms))
+			g_error("\"%s\" is accepted", bad[i]);
+	}
+	g_assert_true(drain_time("+90s", 5000, &ms));
+	g_assert_cmpint(ms, ==, 95000);
+	g_assert_true(drain_time("+1.5h", 5001, &ms));
+	g_assert_cmpint(ms, ==, 5406000);
+	g_assert_true(drain_time("1970-01-01T00:01:00Z", 5000, &ms));
+	g_assert_cmpint(ms, ==, 60000);
+}
+
+static void add_text(struct sample *s, const char *instance, const char *zone, unsigned ok,
+		     unsigned within, unsigned refused)
+{
+	char *text = g_strdup_printf(
+		"# HELP cassia_proxy_ok_total x\n"
+		"cassia_proxy_requests_total{class=\"lookups\"} %u\n"
+		"cassia_proxy_ok_total{class=\"lookups\"} %u\n"
+		"cassia_proxy_ok_total_other{class=\"lookups\"} 9999\n"
+		"cassia_proxy_in_target_total{class=\"lookups\"} %u\n"
+		"cassia_proxy_refused_total{class=\"lookups\",reason=\"overload\"} %u\n"
+		"cassia_proxy_refused_total{class=\"lookups\",reason=\"deadline\"} 1\n"
+		"cassia_proxy_latency_us{class=\"lookups\",quantile=\"0.99\"} 700\n"
+		"cassia_proxy_failed_total{class=\"lookups\"} 0\n",
+		ok + refused + 1, ok, within, refused);
+
+	sample_add_text(s, instance, zone, text);
+	g_free(text);
+}
+
+/* Guards against counters that are read from the wrong line and refusals that are not summed. */
+static void test_counters(void)
+{
+	struct sample s = {0};
+	const struct counters *c;
+
+	add_text(&s, "a-1", "a", 100, 90, 4);
+	c = sample_find(&s, "lookups", "a-1");
+	g_assert_nonnull(c);
+	g_assert_cmpuint(c->ok, ==, 100);
+	g_assert_cmpuint(c->within, ==, 90);
+	g_assert_cmpuint(c->refused, ==, 5);
+	g_assert_cmpuint(c->p99_us, ==, 700);
+	g_assert_null(sample_find(&s, "lookups", "a-2"));
+	sample_free(&s);
+}
+
+/* Guards against negative or huge differences when a proxy restarts between two samples. */
+static void test_restart(void)
+{
+	struct sample before = {0}, after = {0};
+	struct counters d;
+
+	add_text(&before, "a-1", "a", 1000, 1000, 0);
+	add_text(&before, "b-1", "b", 50, 50, 0);
+	add_text(&after, "a-1", "a", 10, 8, 0);
+	add_text(&after, "b-1", "b", 60, 55, 0);
+	add_text(&after, "b-2", "b", 7, 7, 0);
+	d = sample_sum(&after, &before, "lookups", NULL);
+	g_assert_cmpuint(d.ok, ==, 10 + 10 + 7);
+	g_assert_cmpuint(d.within, ==, 8 + 5 + 7);
+	d = sample_sum(&after, &before, "lookups", "b");
+	g_assert_cmpuint(d.ok, ==, 17);
+	sample_free(&before);
+	sample_free(&after);
+}
+
+/* Guards against burn rates that are not multiples of the allowed part, and a wrong worst zone. */
+static void test_burn(void)
+{
+	struct cs_config *cfg = parse_config();
+	struct burn_samples s = {0};
+	struct sample one = {.wall_ms = 1000000}, two = {.wall_ms = 1060000};
+	struct burn_report r;
+	struct burn_rate b;
+	const char *zone;
+	double part;
+
+	add_text(&one, "a-1", "a", 0, 0, 0);
+	add_text(&one, "b-1", "b", 0, 0, 0);
+	add_text(&two, "a-1", "a", 1000, 950, 0);
+	add_text(&two, "b-1", "b", 1000, 990, 0);
+	burn_samples_add(&s, one);
+	burn_samples_add(&s, two);
+	burn_report_init(&r, cfg, &s, 0);
+	g_assert_cmpuint(r.n_windows, ==, 2);
+	g_assert_cmpstr(r.windows[0].name, ==, "1m");
+	g_assert_cmpstr(r.windows[1].name, ==, "start");
+	b = burn_rate_of(&r, &cfg->classes[0], r.windows[0].from, NULL);
+	/* 60 of 2,000 are late, 3%, where 1% may be. */
+	g_assert_cmpfloat(b.latency, >, 2.999);
+	g_assert_cmpfloat(b.latency, <, 3.001);
+	g_assert_cmpfloat(b.answers, ==, 0);
+	zone = burn_worst_zone(&r, &cfg->classes[0], r.windows[0].from, &part);
+	g_assert_cmpstr(zone, ==, "a");
+	g_assert_cmpfloat(part, >, 0.83);
+	burn_samples_free(&s);
+	cs_config_unref(cfg);
+}
+
+/* Guards against windows that claim a length which the samples do not reach. */
+static void test_windows(void)
+{
+	struct cs_config *cfg = parse_config();
+	struct burn_samples s = {0};
+	struct burn_report r;
+	int i;
+
+	for (i = 0; i <= 400; i += 10)
+		burn_samples_add(&s, (struct sample){.wall_ms = 1000000 + i * 1000});
+	burn_report_init(&r, cfg, &s, 0);
+	g_assert_cmpuint(r.n_windows, ==, 3);
+	g_assert_cmpstr(r.windows[1].name, ==, "5m");
+	g_assert_cmpfloat(r.windows[0].seconds, ==, 60);
+	g_assert_cmpfloat(r.windows[1].seconds, ==, 300);
+	burn_report_init(&r, cfg, &s, 240);
+	g_assert_cmpuint(r.n_windows, ==, 2);
+	g_assert_cmpfloat(r.windows[0].seconds, ==, 20);
+	g_assert_cmpfloat(r.windows[1].seconds, ==, 240);
+	burn_samples_free(&s);
+	cs_config_unref(cfg);
+}
+
+/* Guards against a record that loses or changes counts, and one with damage that is read. */
+static void test_record(void)
+{
+	struct burn_samples s = {0}, back = {0};
+	struct sample one = {.wall_ms = 1234};
+	char *dir = g_dir_make_tmp("cassia-test-XXXXXX", NULL),
+	     *path = g_strdup_printf("%s/r", dir);
+	struct cs_msg msg = {""};
+
+	add_text(&one, "a-1", "a", 100, 90, 4);
+	burn_samples_add(&s, one);
+	g_assert_true(burn_record_read(&back, path, &msg));
+	g_assert_cmpuint(back.n, ==, 0);
+	g_assert_true(burn_record_write(&s, path, &msg));
+	g_assert_true(burn_record_read(&back, path, &msg));
+	g_assert_cmpuint(back.n, ==, 1);
+	g_assert_cmpint(back.list[0].wall_ms, ==, 1234);
+	g_assert_cmpuint(back.list[0].rows[0].refused, ==, 5);
+	burn_samples_free(&back);
+	g_assert_true(g_file_set_contents(path, "{\"at_ms\":1,\"rows\":[[1]]}\n", -1, NULL));
+	g_assert_false(burn_record_read(&back, path, &msg));
+	g_assert_nonnull(strstr(msg.text, "line 1"));
+	burn_samples_free(&back);
+	burn_samples_free(&s);
+	unlink(path);
+	rmdir(dir);
+	g_free(path);
+	g_free(dir);
+}
+
+/* Guards against a drain that is called done while its ramp runs or requests are in flight. */
+static void test_phase(void)
+{
+	struct cs_config *cfg = parse_config();
+	const struct cs_drain *d = &cfg->drains[0];
+	struct cs_view *v = cs_view_create();
+	struct drain_progress p;
+
+	drain_progress(cfg, d, v, d->start_ms - 1, &p);
+	g_assert_cmpint(p.phase, ==, DRAIN_WAITING);
+	g_assert_false(p.measured);
+	drain_progress(cfg, d, v, d->start_ms + 100, &p);
+	g_assert_cmpint(p.phase, ==, DRAIN_RAMPING);
+	v->loads = cs_xcalloc(1, sizeof(*v->loads));
+	v->n_loads = 1;
+	cs_copy(v->loads[0].zone, CS_NAME_MAX, "a");
+	cs_copy(v->loads[0].service, CS_NAME_MAX, "s");
+	v->loads[0].in_flight = 2;
+	drain_progress(cfg, d, v, cs_shift_end_ms(cfg, d) + 1, &p);
+	g_assert_cmpint(p.phase, ==, DRAIN_EMPTYING);
+	g_assert_true(p.measured);
+	drain_progress(cfg, d, v, d->deadline_ms + 1, &p);
+	g_assert_cmpint(p.phase, ==, DRAIN_LATE);
+	v->loads[0].in_flight = 0;
+	drain_progress(cfg, d, v, cs_shift_end_ms(cfg, d) + 1, &p);
+	g_assert_cmpint(p.phase, ==, DRAIN_DONE);
+	cs_view_destroy(v);
+	cs_config_unref(cfg);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/ctl/drain-time", test_drain_time);
+	g_test_add_func("/ctl/counters", test_counters);
+	g_test_add_func("/ctl/restart", test_restart);
+	g_test_add_func("/ctl/burn", test_burn);
+	g_test_add_func("/ctl/windows", test_windows);
+	g_test_add_func("/ctl/record", test_record);
+	g_test_add_func("/ctl/phase", test_phase);
+	return g_test_run();
+}
