Add cassiactl keys; write nothing when a change changes nothing

Cause: the race test set a key to the value it had, so that two of five operators were accepted; the keys' ranges were only in the source. Change: class set without a difference writes no revision. keys prints the table of keys. Check: ctl-write.sh passed 4 times, once with ASan and UBSan; ctl-deployment.sh passed with ASan and UBSan; unit tests pass.

--- a/lib/model/keys.c
+++ b/lib/model/keys.c
@@ -6,7 +6,7 @@
 static const struct cs_key document_keys[] = {
 	{"format", CS_KEY_INT, true, 1, 1, 0, "", "Format of the document."},
 	{"deployment", CS_KEY_NAME, true, 0, 0, 0, "", "Name of the deployment."},
-	{"revision", CS_KEY_INT, true, 1, 9007199254740991.0, 0, "", "Grows with each change."},
+	{"revision", CS_KEY_INT, true, 1, 999999999999999.0, 0, "", "Grows with each change."},
 	{"changes", CS_KEY_LIST, false, 0, CS_CONFIG_CHANGES, 0, "", "Last changes, oldest first."},
 	{"network", CS_KEY_OBJECT, true, 0, 0, 0, "", "Delays and links between zones."},
 	{"regions", CS_KEY_LIST, true, 1, 1000, 0, "", "Regions."},
@@ -19,7 +19,7 @@
 
 static const struct cs_key change_keys[] = {
 	{"id", CS_KEY_NAME, true, 0, 0, 0, "", "Unique id of the change."},
-	{"revision", CS_KEY_INT, true, 1, 9007199254740991.0, 0, "", "Revision it made."},
+	{"revision", CS_KEY_INT, true, 1, 999999999999999.0, 0, "", "Revision it made."},
 	{"at", CS_KEY_TIME, true, 0, 0, 0, "", "Wall clock of the writer."},
 	{"by", CS_KEY_NAME, true, 0, 0, 0, "", "Operator."},
 	{"text", CS_KEY_TEXT, true, 0, 159, 0, "bytes", "What was changed."},
--- a/src/ctl/change.c
+++ b/src/ctl/change.c
@@ -51,6 +51,16 @@
 	return CTL_OK;
 }
 
+static int print_no_change(struct ctl *ctl, uint64_t revision)
+{
+	if (ctl->json)
+		ctl_print_json(json_pack("{s:s, s:I, s:n}", "result", "accepted", "revision",
+					 (json_int_t)revision, "change"));
+	else
+		printf("no difference: revision %" PRIu64 " is in force\n", revision);
+	return CTL_OK;
+}
+
 static int print_rejected(struct ctl *ctl, const char *why)
 {
 	if (ctl->json)
@@ -196,8 +206,12 @@
 	cs_random_id(a->id, sizeof(a->id), prefix);
 	if (!change->edit(ctl, doc, a->base.cfg, change->arg, change, &why))
 		goto out;
+	if (change->conflict) {
+		rc = ctl_conflict(ctl, a->base.cfg, change->made_from);
+		goto out;
+	}
 	if (change->no_change) {
-		rc = CTL_OK;
+		rc = print_no_change(ctl, base);
 		goto out;
 	}
 	if (base == 0)
--- a/src/ctl/change.h
+++ b/src/ctl/change.h
@@ -20,7 +20,9 @@
 	 */
 	bool (*touched)(const json_t *before, const json_t *after, void *arg);
 	bool may_create; /* the document may be absent */
-	bool no_change; /* set by edit: nothing is to be written */
+	bool no_change; /* set by edit: the document already is as wanted */
+	bool conflict; /* set by edit: the change was made from an older document */
+	uint64_t made_from; /* revision, for a conflict set by edit */
 	void *arg;
 };
 
--- a/src/ctl/cmd-apply.c
+++ b/src/ctl/cmd-apply.c
@@ -16,8 +16,6 @@
 	const char *path;
 	json_t *json;
 	struct cs_config *cfg;
-	bool conflict; /* the file is older than the document */
-	uint64_t revision; /* in force */
 };
 
 /* True if both documents are the same apart from revision and changes. */
@@ -44,13 +42,11 @@
 
 	if (cfg != NULL && same_content(doc, a->json)) {
 		change->no_change = true;
-		a->revision = cfg->revision;
 		return true;
 	}
 	if (cfg != NULL && a->cfg->revision < cfg->revision) {
-		a->conflict = true;
-		change->no_change = true;
-		ctl_conflict(ctl, cfg, a->cfg->revision);
+		change->conflict = true;
+		change->made_from = a->cfg->revision;
 		return true;
 	}
 	if (cfg != NULL && a->cfg->revision > cfg->revision) {
@@ -105,15 +101,6 @@
 	a.json = json_loadb(text, len, 0, NULL);
 	cs_copy(change.text, sizeof(change.text), opt_text != NULL ? opt_text : "apply");
 	rc = ctl_change_run(ctl, &change);
-	if (rc != CTL_OK || !change.no_change)
-		goto out;
-	if (a.conflict)
-		rc = CTL_CONFLICT;
-	else if (ctl->json)
-		ctl_print_json(json_pack("{s:s, s:I, s:n}", "result", "accepted", "revision",
-					 (json_int_t)a.revision, "change"));
-	else
-		printf("no difference: revision %" PRIu64 " is in force\n", a.revision);
 out:
 	json_decref(a.json);
 	cs_config_unref(a.cfg);
--- a/src/ctl/cmd-class-set.c
+++ b/src/ctl/cmd-class-set.c
@@ -107,7 +107,7 @@
 		 struct ctl_change *change, struct cs_msg *why)
 {
 	struct class_set *a = arg;
-	json_t *class = ctl_find(json_object_get(doc, "classes"), "name", a->name);
+	json_t *class = ctl_find(json_object_get(doc, "classes"), "name", a->name), *before;
 	const char **names;
 	struct cs_msg buf;
 	char *pairs;
@@ -124,10 +124,13 @@
 		return false;
 	}
 	why->text[0] = '\0';
-	for (k = 0; k < a->n; k++) {
-		if (!set_pair(class, a->pairs[k], why))
-			return false;
-	}
+	before = json_deep_copy(class);
+	for (k = 0; k < a->n && set_pair(class, a->pairs[k], why); k++)
+		;
+	change->no_change = k == a->n && json_equal(before, class);
+	json_decref(before);
+	if (k < a->n)
+		return false;
 	pairs = g_strjoinv(" ", a->pairs);
 	snprintf(change->text, sizeof(change->text), "class %s: %s", a->name, pairs);
 	g_free(pairs);
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -48,8 +48,8 @@
 };
 
 extern const struct cmd cmd_apply, cmd_burn, cmd_class_set, cmd_classes, cmd_diff, cmd_drain_cancel,
-	cmd_drain_start, cmd_drain_status, cmd_explain, cmd_history, cmd_locate, cmd_servers,
-	cmd_settle, cmd_show, cmd_status, cmd_targets, cmd_top, cmd_zones;
+	cmd_drain_start, cmd_drain_status, cmd_explain, cmd_history, cmd_keys, cmd_locate,
+	cmd_servers, cmd_settle, cmd_show, cmd_status, cmd_targets, cmd_top, cmd_zones;
 /* All commands; ends with NULL. */
 extern const struct cmd *const cmds[];
 
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -12,11 +12,10 @@
 #define CMDS_MAX 32
 
 const struct cmd *const cmds[] = {
-	&cmd_status,	   &cmd_zones,	      &cmd_servers,   &cmd_classes,
-	&cmd_targets,	   &cmd_top,	      &cmd_burn,      &cmd_drain_start,
-	&cmd_drain_status, &cmd_drain_cancel, &cmd_class_set, &cmd_apply,
-	&cmd_diff,	   &cmd_show,	      &cmd_history,   &cmd_settle,
-	&cmd_locate,	   &cmd_explain,      NULL,
+	&cmd_status,	&cmd_zones, &cmd_servers,     &cmd_classes,	 &cmd_targets,
+	&cmd_top,	&cmd_burn,  &cmd_drain_start, &cmd_drain_status, &cmd_drain_cancel,
+	&cmd_class_set, &cmd_apply, &cmd_diff,	      &cmd_show,	 &cmd_history,
+	&cmd_settle,	&cmd_keys,  &cmd_locate,      &cmd_explain,	 NULL,
 };
 
 static char *opt_store, *opt_instance, *opt_by, *opt_address;
--- a/src/lookupd/main.c
+++ b/src/lookupd/main.c
@@ -14,8 +14,8 @@
 #define STOP_DRAIN_MS 500
 
 static struct cs_setting settings[] = {
-	{.name = "instance", .unit = "", .help = "name of this instance in the platform's list"},
-	{.name = "zone", .unit = "", .help = "availability zone of this instance"},
+	{.name = "instance", .unit = "", .help = "Name of this instance in the platform's list"},
+	{.name = "zone", .unit = "", .help = "Availability zone of this instance"},
 	{.name = "address",
 	 .def = "127.0.0.1",
 	 .unit = "",
@@ -30,18 +30,18 @@
 	{.name = "agent",
 	 .def = "tcp://127.0.0.1:7002",
 	 .unit = "",
-	 .help = "local endpoint of the agent, tcp://IP:PORT"},
+	 .help = "Local endpoint of the agent, tcp://IP:PORT"},
 	{.name = "log-level",
 	 .kind = CS_SET_CHOICE,
 	 .def = "notice",
 	 .choices = "err|warning|notice|info|debug",
 	 .unit = "",
-	 .help = "highest level that is logged"},
+	 .help = "Highest level that is logged: "},
 	{.name = "check",
 	 .kind = CS_SET_BOOL,
 	 .def = "no",
 	 .unit = "",
-	 .help = "check the settings and exit"},
+	 .help = "Check the settings and exit"},
 	{.name = NULL},
 };
 
--- a/tests/run/check.d/ctl-write.sh
+++ b/tests/run/check.d/ctl-write.sh
@@ -46,19 +46,21 @@
 expect 3 "did you mean status?" class set statuss latency_target_ms=250
 expect 3 "did you mean latency_target_ms?" class set status latency_target_m=250
 expect 3 "100 to 60000\|1 to 600000" class set status latency_target_ms=0
-[ "$(revision)" = 2 ] || die "a rejected change was written"
+expect 0 "no difference" class set status latency_target_ms=250
+[ "$(revision)" = 2 ] || die "a rejected or empty change was written"
 
 # An older file is a conflict that shows what came between.
 jq '.classes[0].priority = 4' "$RUNDIR/config.json" >"$RUNDIR/old.json"
 expect 4 "by anna at .*class status: latency_target_ms=250" apply "$RUNDIR/old.json"
 [ "$(revision)" = 2 ] || die "a conflicting change was written"
 
-# Racing operators: the store answers slowly, so that all read the same revision.
+# race CLASS KEY DELAY: five operators at once. The store answers slowly, so that all read the same
+# revision when they start within twice the delay.
 race() {
 	local i
-	store_control 'set?delay_ms=300' >/dev/null
+	store_control "set?delay_ms=$3" >/dev/null
 	for i in 1 2 3 4 5; do
-		CASSIA_BY=op$i "$ctl" class set "${1/N/$i}" "$2=$((i + 1))" >"$RUNDIR/race$i" 2>&1 &
+		CASSIA_BY=op$i "$ctl" class set "${1/N/$i}" "$2=$((i + 3))" >"$RUNDIR/race$i" 2>&1 &
 		racer[i]=$!
 	done
 	for i in 1 2 3 4 5; do
@@ -68,18 +70,18 @@
 	store_control 'set?delay_ms=0' >/dev/null
 }
 declare -a racer codes
-race status priority
+race status priority 500
 [ "$(printf '%s\n' "${codes[@]}" | sort | uniq -c | xargs)" = "1 0 4 4" ] ||
 	die "five operators on one class: exit codes ${codes[*]}, expected one 0 and four 4"
 grep -l "by op.*class status: priority" "$RUNDIR"/race? >/dev/null || die "the conflict does not show the other change"
 [ "$(revision)" = 3 ] || die "five operators on one class: revision $(revision), expected 3"
 
-jq '.classes = [range(1; 6) as $i | .classes[0] | .name = "class\($i)"] + .classes' <("$ctl" show) >"$RUNDIR/five.json"
+jq '.classes = [range(1; 6) as $i | .classes[0] | .name = "class\($i)" | .priority = 1] + .classes' <("$ctl" show) >"$RUNDIR/five.json"
 expect 0 "accepted at revision 4" apply "$RUNDIR/five.json"
-race classN priority
+race classN priority 200
 [ "${codes[*]}" = "0 0 0 0 0" ] || die "five operators on five classes: exit codes ${codes[*]}, expected all 0"
 [ "$(revision)" = 9 ] || die "five operators on five classes: revision $(revision), expected 9"
-[ "$("$ctl" show --json | jq -c '[.classes[] | select(.name | startswith("class")) | .priority]')" = "[2,3,4,5,6]" ] ||
+[ "$("$ctl" show --json | jq -c '[.classes[] | select(.name | startswith("class")) | .priority]')" = "[4,5,6,7,8]" ] ||
 	die "five operators on five classes: a change was lost"
 
 # A lost answer is resolved by the change id, also when the store stays away for a while.
