--- a/src/ctl/cmd-show.c
+++ b/src/ctl/cmd-show.c
@@ -25,6 +25,6 @@
 	.args = "",
 	.summary = "Print the configuration document",
 	.examples = "  cassiactl show > config.json\n"
-		    "  cassiactl show --instance 127.0.0.1:7004",
+		    "  cassiactl show --instance 127.0.0.1:7003",
 	.run = run,
 };
--- a/src/ctl/cmd-status.c
+++ b/src/ctl/cmd-status.c
@@ -157,6 +157,6 @@
 	.summary = "Show the deployment: revision, instances, drains",
 	.examples = "  cassiactl status\n"
 		    "  cassiactl status --json\n"
-		    "  cassiactl status --instance 127.0.0.1:7004   (while the store is down)",
+		    "  cassiactl status --instance 127.0.0.1:7003   (while the store is down)",
 	.run = run,
 };
