Quiet two false findings of the linters in the checker and the planner

clang's analyzer reports vfprintf with an uninitialized list after an early return, cppcheck an array as uninitialized that is filled in a loop. Both are written so that the tools follow them.

--- a/src/check/decide.c
+++ b/src/check/decide.c
@@ -77,16 +77,15 @@
 
 void check_violation(struct check *c, const char *rule, const struct op *op, const char *fmt, ...)
 {
+	char text[512];
 	va_list ap;
 
-	c->violations++;
-	if (c->violations > PRINTED_MAX)
-		return;
-	fprintf(c->out, "violation %s: ", rule);
 	va_start(ap, fmt);
-	vfprintf(c->out, fmt, ap);
+	vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
-	fputc('\n', c->out);
+	if (++c->violations > PRINTED_MAX)
+		return;
+	fprintf(c->out, "violation %s: %s\n", rule, text);
 	if (op != NULL)
 		print_op(c, op);
 }
--- a/tests/standins/planner/main.c
+++ b/tests/standins/planner/main.c
@@ -239,7 +239,7 @@
 
 static void print_schedule(void)
 {
-	struct action actions[2 * FAULTS_MAX];
+	struct action actions[2 * FAULTS_MAX] = {{0}};
 	const struct fault *f;
 	unsigned n = 0, i;
 
