--- a/tests/run/demo.sh
+++ b/tests/run/demo.sh
@@ -53,10 +53,10 @@
 show_request photos POST '/photos?size=32' "$(head -c 3000 /dev/zero | tr '\0' x)"
 
 say "load from both zones for $LOAD_S s, and a drain of $DRAINED with a deadline in $DEADLINE_S s"
-jq -nc --argjson callers "$(deploy_callers 3)" --argjson d "$LOAD_S" '{duration_s:$d,callers:$callers,streams:[
+load_start demo < <(jq -nc --argjson callers "$(deploy_callers 3)" --argjson d "$LOAD_S" '{duration_s:$d,callers:$callers,streams:[
 	{class:"status",rate:150,answer_bytes:200},
 	{class:"payments",rate:60,idempotent:false,method:"POST",upload_bytes:100},
-	{class:"photos",rate:5,upload_bytes:100000,deadline_ms:4000}]}' | load_start demo
+	{class:"photos",rate:5,upload_bytes:100000,deadline_ms:4000}]}')
 sleep 2
 ctl() { "$DEPLOY_BIN/cassiactl" --store "consul:http://127.$RUN.0.1:$STORE_PORT" --instance "$(inst_listed north-a-1):$ADMIN_PORT" "$@"; }
 now_us=$(clock_us)
--- a/tests/run/deploy.sh
+++ b/tests/run/deploy.sh
@@ -24,6 +24,11 @@
 export CASSIA_CURVE_PUBLIC='Yne@$w-vo<fVvi]a<NY6T1ed:M$fCG*[IaLV{hID'
 export CASSIA_CURVE_SECRET='D:)Q[IlAW!ahhC2ac:9*A}h:p?([4%wOTJ%JR%cs'
 
+# Classes of the topologies one and small.
+SMALL_CLASSES='{"name":"status","service":"orders","idempotent":true,"bulk":false,"latency_target_ms":200,"percentile":99,"availability_pct":99.9,"headroom_pct":20,"max_body_kb":64,"timeout_ms":2000,"priority":2}
+{"name":"payments","service":"orders","idempotent":false,"bulk":false,"latency_target_ms":400,"percentile":99,"availability_pct":99.9,"headroom_pct":20,"max_body_kb":64,"timeout_ms":2000,"priority":1}
+{"name":"photos","service":"files","idempotent":true,"bulk":true,"latency_target_ms":2000,"percentile":95,"availability_pct":99,"headroom_pct":20,"max_body_kb":65536,"timeout_ms":4000,"priority":5}'
+
 declare -gA PID=()       # process id by name
 declare -gA INST_ZONE=() # zone number by instance
 declare -gA INST_ADDR=() # real address by instance
@@ -43,13 +48,17 @@
 	CAP_PCT_S=${CAP_PCT_S:-5}
 	LOOKUP_TTL_MS=${LOOKUP_TTL_MS:-2000}
 	case $1 in
+	one) # one zone and one instance, for figures of a single process
+		ZONES=(north-a:north)
+		ZONE_MS=0 REGION_MS=0 CALLER_MS=0 PER_ZONE=${PER_ZONE:-1}
+		SERVICES=(${ONE_SERVICES:-orders:8:64:1000 files:4:64:1000})
+		CLASSES=$SMALL_CLASSES
+		;;
 	small)
 		ZONES=(north-a:north south-a:south)
 		ZONE_MS=1 REGION_MS=5 CALLER_MS=1 PER_ZONE=${PER_ZONE:-2}
 		SERVICES=(orders:6:8:200 files:4:6:200)
-		CLASSES='{"name":"status","service":"orders","idempotent":true,"bulk":false,"latency_target_ms":200,"percentile":99,"availability_pct":99.9,"headroom_pct":20,"max_body_kb":64,"timeout_ms":2000,"priority":2}
-{"name":"payments","service":"orders","idempotent":false,"bulk":false,"latency_target_ms":400,"percentile":99,"availability_pct":99.9,"headroom_pct":20,"max_body_kb":64,"timeout_ms":2000,"priority":1}
-{"name":"photos","service":"files","idempotent":true,"bulk":true,"latency_target_ms":2000,"percentile":95,"availability_pct":99,"headroom_pct":20,"max_body_kb":65536,"timeout_ms":4000,"priority":5}'
+		CLASSES=$SMALL_CLASSES
 		;;
 	rinnova)
 		ZONES=(lom-brescia:lombardia lom-bergamo:lombardia ven-padova:veneto ven-treviso:veneto pie-torino:piemonte pie-novara:piemonte)
@@ -75,6 +84,7 @@
 deploy_spawn() {
 	local name=$1
 	shift
+	mkdir -p "$(dirname "$RUNDIR/$name")"
 	"$@" >>"$RUNDIR/$name.log" 2>&1 &
 	PID[$name]=$!
 	echo "$name ${PID[$name]}" >>"$RUNDIR/pids"
@@ -248,7 +258,6 @@
 }
 
 inst_start() {
-	mkdir -p "$RUNDIR/$1"
 	daemon_start "$1" agentd
 	daemon_start "$1" proxyd
 	daemon_start "$1" lookupd
@@ -371,7 +380,8 @@
 	"$DEPLOY_BIN/cassia-load" --plan - --history "$RUNDIR/$1.jsonl" --summary "$RUNDIR/$1.json" >"$RUNDIR/$1.log" 2>&1
 }
 
-# Starts cassia-load in the background; wait for it with load_wait NAME.
+# Starts cassia-load in the background on a plan from standard input; wait with load_wait NAME. Use a
+# redirection, not a pipe: a pipe would run it in a subshell, whose children cannot be waited for.
 load_start() {
 	cat >"$RUNDIR/$1.plan"
 	deploy_spawn "load-$1" "$DEPLOY_BIN/cassia-load" --plan "$RUNDIR/$1.plan" --history "$RUNDIR/$1.jsonl" --summary "$RUNDIR/$1.json"
