Give the demo's drain a deadline that its cap allows

17 s was rejected: two ramps at cap_pct_s 20, the time to live, the longest timeout and the margin need 20.0 s.

--- a/tests/run/demo.sh
+++ b/tests/run/demo.sh
@@ -7,9 +7,9 @@
 source tests/run/deploy.sh
 
 LOOKUP_TTL_MS=1000
-CAP_PCT_S=20
-DEADLINE_S=17
-LOAD_S=19
+CAP_PCT_S=25
+DEADLINE_S=20
+LOAD_S=23
 SERVER_BEHAVIOUR='{"service_ms":10,"jitter_pct":50}'
 DRAINED=south-a
 
