policy: build the benchmark, hash member names once for the plan

Cause: locate hashed about 25 member names for each lookup.

Change: the plan keeps a hash for each member. Makefile links benchmarks with the objects that tests/bench/NAME.objs names, as it does for unit tests.

--- a/Makefile
+++ b/Makefile
@@ -83,9 +83,14 @@
 endef
 $(foreach t,$(TESTS),$(eval $(call test_rule,$(t))))
 
-$(BUILD)/tests/bench-%: $(BUILD)/tests/bench/bench-%.o $(lib_ar)
-	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+# Benchmarks likewise, by tests/bench/NAME.objs.
+bench_extra = $(addprefix $(BUILD)/,$(shell cat tests/bench/$(1).objs 2>/dev/null))
+define bench_rule
+$(BUILD)/tests/$(1): $(BUILD)/tests/bench/$(1).o $(call bench_extra,$(1)) $(lib_ar)
+	@mkdir -p $$(@D)
+	$$(CC) $$(LDFLAGS) -o $$@ $$^ $$(LDLIBS)
+endef
+$(foreach b,$(BENCHES),$(eval $(call bench_rule,$(b))))
 
 deps:
 	@bash tests/run/deps.sh
--- a/lib/policy/plan.c
+++ b/lib/policy/plan.c
@@ -16,6 +16,7 @@
 struct cs_plan {
 	struct cs_config *cfg;
 	struct cs_member *members; /* usable ones, grouped by zone */
+	uint64_t *hash; /* of each member's name */
 	unsigned *first; /* per zone, index of its first member; n_zones + 1 entries */
 	uint16_t *near; /* per caller zone: all zones, nearest first */
 	struct part *parts; /* all rows one after the other */
@@ -50,9 +51,13 @@
 	plan->members = cs_xcalloc(n, sizeof(*plan->members));
 	at = cs_xcalloc(cfg->n_zones + 1, sizeof(*at));
 	memcpy(at, plan->first, (cfg->n_zones + 1) * sizeof(*at));
-	for (i = 0; i < v->n_members; i++)
-		if (zone[i] >= 0)
-			plan->members[at[zone[i]]++] = v->members[i];
+	plan->hash = cs_xcalloc(n, sizeof(*plan->hash));
+	for (i = 0; i < v->n_members; i++) {
+		if (zone[i] < 0)
+			continue;
+		plan->hash[at[zone[i]]] = cs_hash_str(v->members[i].name, 0);
+		plan->members[at[zone[i]]++] = v->members[i];
+	}
 	free(at);
 	free(zone);
 }
@@ -223,6 +228,7 @@
 	if (plan == NULL)
 		return;
 	free(plan->members);
+	free(plan->hash);
 	free(plan->first);
 	free(plan->near);
 	free(plan->parts);
@@ -237,7 +243,15 @@
 	return (double)(h >> 11) * 0x1.0p-53;
 }
 
-/* Member of a zone for a caller: the k-th by rendezvous hash. */
+/* Spreads the bits of two hashes that were combined. */
+static uint64_t mix(uint64_t z)
+{
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+	return z ^ (z >> 31);
+}
+
+/* Member of a zone for a caller, by rendezvous hash. */
 static const struct cs_member *member_for(const struct cs_plan *plan, unsigned zone, uint64_t h,
 					  const struct cs_member *other_than)
 {
@@ -251,7 +265,7 @@
 
 		if (m == other_than)
 			continue;
-		x = cs_hash_str(m->name, h);
+		x = mix(plan->hash[i] ^ h);
 		if (best != NULL && x < most)
 			continue;
 		best = m;
