policy: make a new view cheap at 260 zones and 1,700 members

Change: rows of other zones are addressed by zone and service, zone names are found by a sorted table of hashes, members are grouped by zone, and shares are divided anew only when the roster, a peer's roster, a server or its slots changed.

--- a/lib/policy/internal.h
+++ b/lib/policy/internal.h
@@ -70,6 +70,7 @@
 	double doubt;
 	uint64_t doubt_us;
 	double mean; /* ratio of latencies to the usual one */
+	unsigned reported_us; /* service time by the server's own report; 0: unknown */
 	double reported; /* ratio of the reported service time to the service's median */
 	double reported_load; /* reported requests in flight per slot */
 	uint64_t samples;
@@ -171,8 +172,8 @@
 /* A zone's room for a service, from digests and hops. */
 struct room {
 	char zone[CS_NAME_MAX];
-	int zone_index;
-	int service;
+	char service_name[CS_NAME_MAX];
+	int zone_index, service; /* in the configuration */
 	unsigned capacity, in_flight, waiting;
 	bool out_of_target;
 	uint64_t version;
@@ -182,6 +183,12 @@
 	uint64_t refuse_us;
 };
 
+/* A zone of the configuration by the hash of its name. */
+struct zone_key {
+	uint64_t hash;
+	unsigned index;
+};
+
 struct cs_policy {
 	struct cs_policy_opts opts;
 	uint64_t self; /* hash of the instance name */
@@ -192,8 +199,11 @@
 	struct svc_list svcs;
 	struct cls_list classes;
 	struct cls **by_index;
-	struct cs_member *members; /* of other zones: usable entry instances */
-	struct room *rooms;
+	struct cs_member *members; /* usable other instances, grouped by zone */
+	unsigned *first; /* per zone, index of its first member; one more at the end */
+	struct zone_key *zone_keys; /* sorted */
+	struct room *rooms; /* by zone, then service */
+	uint64_t rooms_revision; /* of the configuration that the rows are for */
 	struct roster rosters[ROSTERS_MAX]; /* the last one is the present one */
 	struct peer *peers;
 	uint64_t share_due_us; /* next time at which a share may change; UINT64_MAX: none */
@@ -206,14 +216,15 @@
 	double stay;
 	uint64_t stay_us; /* time of its last change, or of the last look without a difference */
 	bool lagging; /* a jump is being worked off */
+	bool share_dirty; /* something that shares depend on has changed */
 	int zone; /* own zone in the configuration, or -1 */
-	unsigned n_targets, n_index, n_members, n_rooms, n_rosters, n_peers, n_waiting;
+	unsigned n_targets, n_index, n_rooms, n_rosters, n_peers, n_waiting;
 };
 
 /* policy.c */
 struct cs_target *target_find(struct cs_policy *p, const char *name);
 void open_refresh(struct cs_policy *p, struct cs_target *t, uint64_t now_us);
-void open_refresh_all(struct cs_policy *p, struct svc *s, uint64_t now_us);
+void open_refresh_every(struct cs_policy *p, uint64_t now_us);
 void policy_tick(struct cs_policy *p, uint64_t now_us);
 int64_t policy_wall_ms(const struct cs_policy *p, uint64_t now_us);
 struct cls *policy_class(struct cs_policy *p, unsigned class_index);
@@ -277,7 +288,8 @@
 		    uint64_t latency_us, uint64_t now_us);
 /* Sets the doubt, as after a timely answer to a trial request. */
 void latency_reset(struct cs_target *t, double doubt, uint64_t now_us);
-void latency_report(struct cs_policy *p, struct svc *s, const struct cs_view *v);
+/* Compares the reported service times of each service. */
+void latency_report(struct cs_policy *p);
 
 /* eject.c */
 /* late as from latency_sample. */
@@ -301,7 +313,7 @@
 uint64_t queue_wait_us(const struct cs_policy *p, const struct cls *c);
 
 /* spill.c */
-void spill_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us);
+void spill_update(struct cs_policy *p, const struct cs_view *v);
 void spill_clear(struct cs_policy *p);
 /*
  * Chooses another instance of the own zone if this one has no share at any server of the service,
--- a/lib/policy/latency.c
+++ b/lib/policy/latency.c
@@ -146,25 +146,34 @@
 	return x < y ? -1 : x > y;
 }
 
-void latency_report(struct cs_policy *p, struct svc *s, const struct cs_view *v)
+/* One service's reported times relative to their median. */
+static void report_service(struct svc *s, unsigned *us)
 {
 	struct cs_target *t;
-	unsigned *us = cs_xcalloc(v->n_servers, sizeof(*us)), n = 0, i, median;
+	unsigned n = 0, median;
+	double r;
 
-	for (i = 0; i < v->n_servers; i++)
-		if (v->servers[i].reported_us > 0 && strcmp(v->servers[i].service, s->name) == 0 &&
-		    strcmp(v->servers[i].zone, p->opts.zone) == 0)
-			us[n++] = v->servers[i].reported_us;
+	TAILQ_FOREACH(t, &s->targets, in_svc)
+		if (t->listed && t->reported_us > 0)
+			us[n++] = t->reported_us;
+	if (n == 0)
+		return;
 	qsort(us, n, sizeof(*us), cmp_unsigned);
-	median = n > 0 ? us[n / 2] : 0;
-	free(us);
-	for (i = 0; median > 0 && i < v->n_servers; i++) {
-		double r = (double)v->servers[i].reported_us / median;
-
-		if (v->servers[i].reported_us == 0)
+	median = us[n / 2];
+	TAILQ_FOREACH(t, &s->targets, in_svc) {
+		if (t->reported_us == 0)
 			continue;
-		t = target_find(p, v->servers[i].name);
-		if (t != NULL && t->svc == s)
-			t->reported = r > RATIO_MAX ? RATIO_MAX : r < RATIO_MIN ? RATIO_MIN : r;
+		r = (double)t->reported_us / median;
+		t->reported = r > RATIO_MAX ? RATIO_MAX : r < RATIO_MIN ? RATIO_MIN : r;
 	}
 }
+
+void latency_report(struct cs_policy *p)
+{
+	unsigned *us = cs_xcalloc(p->n_targets, sizeof(*us));
+	struct svc *s;
+
+	TAILQ_FOREACH(s, &p->svcs, entry)
+		report_service(s, us);
+	free(us);
+}
--- a/lib/policy/policy.c
+++ b/lib/policy/policy.c
@@ -122,11 +122,11 @@
 	}
 }
 
-void open_refresh_all(struct cs_policy *p, struct svc *s, uint64_t now_us)
+void open_refresh_every(struct cs_policy *p, uint64_t now_us)
 {
 	struct cs_target *t;
 
-	TAILQ_FOREACH(t, &s->targets, in_svc)
+	TAILQ_FOREACH(t, &p->all, in_all)
 		open_refresh(p, t, now_us);
 }
 
@@ -286,6 +286,7 @@
 	RB_INSERT(target_tree, &p->targets, t);
 	TAILQ_INSERT_TAIL(&s->targets, t, in_svc);
 	TAILQ_INSERT_TAIL(&p->all, t, in_all);
+	p->share_dirty = true;
 	p->n_targets++;
 	s->n_targets++;
 	if (s->n_targets > s->cap_open) {
@@ -340,7 +341,10 @@
 		t->seen = t->listed = true;
 		cs_copy(t->addr, sizeof(t->addr), sv->addr);
 		t->port = sv->port;
+		if (t->slots != sv->slots)
+			p->share_dirty = true;
 		t->slots = sv->slots;
+		t->reported_us = sv->reported_us;
 		t->reported_load = (double)sv->reported_in_flight / (sv->slots > 0 ? sv->slots : 1);
 		/* A view that repeats its word does not undo what the server said since. */
 		if (sv->state != t->viewed)
@@ -358,7 +362,6 @@
 
 void cs_policy_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us)
 {
-	struct svc *s;
 	unsigned i;
 
 	if (v->cfg != NULL)
@@ -366,14 +369,13 @@
 	if (p->cfg == NULL)
 		return;
 	targets_update(p, v, now_us);
-	TAILQ_FOREACH(s, &p->svcs, entry)
-		latency_report(p, s, v);
+	latency_report(p);
 	for (i = 0; i < v->n_members; i++)
 		if (strcmp(v->members[i].zone, p->opts.zone) == 0)
 			peer_set(p, v->members[i].name, v->members[i].roster,
 				 v->members[i].state == CS_MEMBER_ALIVE);
 	share_update(p, v, now_us);
-	spill_update(p, v, now_us);
+	spill_update(p, v);
 }
 
 const char *cs_target_name(const struct cs_target *t)
--- a/lib/policy/share.c
+++ b/lib/policy/share.c
@@ -207,15 +207,14 @@
 void share_refresh(struct cs_policy *p, uint64_t now_us)
 {
 	struct cs_target *t;
-	struct svc *s;
 
 	if (p->n_rosters == 0)
 		return;
 	rosters_prune(p, now_us);
 	TAILQ_FOREACH(t, &p->all, in_all)
 		share_of_target(p, t, now_us);
-	TAILQ_FOREACH(s, &p->svcs, entry)
-		open_refresh_all(p, s, now_us);
+	open_refresh_every(p, now_us);
+	p->share_dirty = false;
 }
 
 static void loans_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us)
@@ -267,6 +266,7 @@
 		roster_free(&p->rosters[p->n_rosters - 1]);
 		p->rosters[p->n_rosters - 1] = next;
 	} else {
+		p->share_dirty = true;
 		p->rosters[p->n_rosters - 1].left_us = now_us;
 		/* A roster that comes back is present again, not former. */
 		for (i = 0; i < p->n_rosters; i++)
@@ -277,7 +277,10 @@
 		p->rosters[p->n_rosters++] = next;
 	}
 	loans_update(p, v, now_us);
-	share_refresh(p, now_us);
+	if (p->share_dirty || now_us >= p->share_due_us)
+		share_refresh(p, now_us);
+	else
+		open_refresh_every(p, now_us);
 }
 
 void share_clear(struct cs_policy *p)
@@ -304,6 +307,7 @@
 		return false;
 	p->peers[i].roster = roster;
 	p->peers[i].fresh = fresh;
+	p->share_dirty = true;
 	return true;
 }
 
--- a/lib/policy/spill.c
+++ b/lib/policy/spill.c
@@ -7,57 +7,94 @@
 #define REFUSED_FIRST_US (50 * CS_US_PER_MS)
 #define REFUSED_MAX_US (2 * CS_US_PER_S)
 
-static struct room *room_find(struct cs_policy *p, const char *zone, int service)
+static int cmp_key(const void *a, const void *b)
 {
-	unsigned i;
+	const struct zone_key *x = a, *y = b;
 
-	for (i = 0; i < p->n_rooms; i++)
-		if (p->rooms[i].service == service && strcmp(p->rooms[i].zone, zone) == 0)
-			return &p->rooms[i];
-	return NULL;
+	return x->hash < y->hash ? -1 : x->hash > y->hash;
 }
 
-static bool member_usable(const struct cs_policy *p, const struct cs_member *m)
+/* Sorts the zones' names by hash: each view has a row for each of 1,700 members. */
+static void zone_keys_create(struct cs_policy *p)
 {
-	return m->listed && m->ready && m->state == CS_MEMBER_ALIVE &&
-	       strcmp(m->name, p->opts.instance) != 0 && cs_config_zone(p->cfg, m->zone) >= 0;
+	unsigned n = p->cfg->n_zones, i;
+
+	free(p->zone_keys);
+	p->zone_keys = cs_xcalloc(n, sizeof(*p->zone_keys));
+	for (i = 0; i < n; i++) {
+		p->zone_keys[i].hash = cs_hash_str(p->cfg->zones[i].name, 0);
+		p->zone_keys[i].index = i;
+	}
+	qsort(p->zone_keys, n, sizeof(*p->zone_keys), cmp_key);
+}
+
+static int zone_index(const struct cs_policy *p, const char *name)
+{
+	struct zone_key key = {cs_hash_str(name, 0), 0}, *at;
+
+	at = bsearch(&key, p->zone_keys, p->cfg->n_zones, sizeof(key), cmp_key);
+	return at != NULL ? (int)at->index : -1;
 }
 
-/* One row for each zone with usable members and service; keeps what hops showed. */
-static void rooms_build(struct cs_policy *p, const struct cs_view *v, uint64_t now_us)
+/* Row of a zone and service of the present configuration. */
+static struct room *room_at(struct cs_policy *p, unsigned zone, unsigned service)
 {
-	struct room *old = p->rooms, *r, *was;
+	return &p->rooms[zone * p->cfg->n_services + service];
+}
+
+/* Names the rows after a new configuration; what hops showed is kept for zones of the same name. */
+static void rooms_create(struct cs_policy *p)
+{
+	const struct cs_config *cfg = p->cfg;
+	struct room *old = p->rooms;
 	unsigned n_old = p->n_rooms, i, k, z;
-	bool *usable = cs_xcalloc(p->cfg->n_zones, sizeof(*usable));
-	struct cs_policy before = {.rooms = old, .n_rooms = n_old};
-
-	for (i = 0; i < p->n_members; i++)
-		usable[cs_config_zone(p->cfg, p->members[i].zone)] = true;
-	if (p->zone >= 0)
-		usable[p->zone] = false;
-	p->rooms = cs_xcalloc((size_t)p->cfg->n_zones * p->cfg->n_services, sizeof(*p->rooms));
-	p->n_rooms = 0;
-	for (z = 0; z < p->cfg->n_zones; z++) {
-		for (k = 0; usable[z] && k < p->cfg->n_services; k++) {
-			r = &p->rooms[p->n_rooms++];
-			cs_copy(r->zone, sizeof(r->zone), p->cfg->zones[z].name);
+
+	p->n_rooms = cfg->n_zones * cfg->n_services;
+	p->rooms = cs_xcalloc(p->n_rooms, sizeof(*p->rooms));
+	p->rooms_revision = cfg->revision;
+	zone_keys_create(p);
+	for (z = 0; z < cfg->n_zones; z++) {
+		for (k = 0; k < cfg->n_services; k++) {
+			struct room *r = room_at(p, z, k);
+
+			cs_copy(r->zone, sizeof(r->zone), cfg->zones[z].name);
+			cs_copy(r->service_name, sizeof(r->service_name), cfg->services[k].name);
 			r->zone_index = (int)z;
 			r->service = (int)k;
-			was = room_find(&before, r->zone, r->service);
-			if (was == NULL)
-				continue;
-			r->version = was->version;
-			r->sent = was->sent;
-			r->refused_until_us = was->refused_until_us;
-			r->refuse_us = was->refuse_us;
 		}
 	}
+	for (i = 0; old != NULL && i < n_old; i++) {
+		int zone = cs_config_zone(cfg, old[i].zone);
+		int service = cs_config_service(cfg, old[i].service_name);
+		struct room *r;
+
+		if (zone < 0 || service < 0)
+			continue;
+		r = room_at(p, (unsigned)zone, (unsigned)service);
+		r->version = old[i].version;
+		r->sent = old[i].sent;
+		r->refused_until_us = old[i].refused_until_us;
+		r->refuse_us = old[i].refuse_us;
+	}
+	free(old);
+}
+
+static void rooms_fill(struct cs_policy *p, const struct cs_view *v)
+{
+	unsigned i;
+	int zone, service;
+
+	for (i = 0; i < p->n_rooms; i++)
+		p->rooms[i].known = false;
 	for (i = 0; i < v->n_loads; i++) {
 		const struct cs_zone_load *l = &v->loads[i];
+		struct room *r;
 
-		r = room_find(p, l->zone, cs_config_service(p->cfg, l->service));
-		if (r == NULL)
+		zone = zone_index(p, l->zone);
+		service = cs_config_service(p->cfg, l->service);
+		if (zone < 0 || service < 0)
 			continue;
+		r = room_at(p, (unsigned)zone, (unsigned)service);
 		if (l->version != r->version)
 			r->sent = 0;
 		r->known = true;
@@ -67,27 +104,58 @@
 		r->waiting = l->waiting;
 		r->out_of_target = l->out_of_target;
 	}
-	free(old);
-	free(usable);
 }
 
-void spill_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us)
+static bool member_usable(const struct cs_policy *p, const struct cs_member *m)
 {
-	unsigned i;
+	return m->listed && m->ready && m->state == CS_MEMBER_ALIVE &&
+	       strcmp(m->name, p->opts.instance) != 0;
+}
+
+/* Copies the usable members, grouped by zone. */
+static void members_fill(struct cs_policy *p, const struct cs_view *v)
+{
+	unsigned zones = p->cfg->n_zones, i, n = 0;
+	int *zone = cs_xcalloc(v->n_members, sizeof(*zone));
+	unsigned *at = cs_xcalloc(zones + 1, sizeof(*at));
 
 	free(p->members);
-	p->members = cs_xcalloc(v->n_members, sizeof(*p->members));
-	p->n_members = 0;
+	free(p->first);
+	p->first = cs_xcalloc(zones + 1, sizeof(*p->first));
+	for (i = 0; i < v->n_members; i++) {
+		zone[i] = -1;
+		if (!member_usable(p, &v->members[i]))
+			continue;
+		zone[i] = zone_index(p, v->members[i].zone);
+		if (zone[i] >= 0)
+			p->first[zone[i] + 1]++;
+	}
+	for (i = 0; i < zones; i++)
+		p->first[i + 1] += p->first[i];
+	n = p->first[zones];
+	p->members = cs_xcalloc(n, sizeof(*p->members));
+	memcpy(at, p->first, (zones + 1) * sizeof(*at));
 	for (i = 0; i < v->n_members; i++)
-		if (member_usable(p, &v->members[i]))
-			p->members[p->n_members++] = v->members[i];
-	rooms_build(p, v, now_us);
+		if (zone[i] >= 0)
+			p->members[at[zone[i]]++] = v->members[i];
+	free(at);
+	free(zone);
+}
+
+void spill_update(struct cs_policy *p, const struct cs_view *v)
+{
+	if (p->rooms == NULL || p->rooms_revision != p->cfg->revision)
+		rooms_create(p);
+	rooms_fill(p, v);
+	members_fill(p, v);
 }
 
 void spill_clear(struct cs_policy *p)
 {
 	free(p->members);
+	free(p->first);
 	free(p->rooms);
+	free(p->zone_keys);
 }
 
 /* Slots that the zone is thought to give to foreign requests. */
@@ -108,12 +176,12 @@
 }
 
 /* Weight of a zone in the draw; 0: not now. */
-static double room_weight(struct cs_policy *p, const struct room *r, const struct cls *c,
-			  bool moved, uint64_t now_us)
+static double room_weight(struct cs_policy *p, const struct room *r, bool moved, uint64_t now_us)
 {
 	double room;
 
-	if (r->service != c->svc->index || now_us < r->refused_until_us)
+	if (r->zone_index == p->zone || now_us < r->refused_until_us ||
+	    p->first[r->zone_index + 1] == p->first[r->zone_index])
 		return 0;
 	if (cs_shift_stay(p->cfg, (unsigned)r->zone_index, policy_wall_ms(p, now_us)) < 1)
 		return 0;
@@ -126,16 +194,12 @@
 	return r->out_of_target ? room / 4 : room;
 }
 
-/* Draws a member of a zone. */
-static const struct cs_member *member_of(struct cs_policy *p, const char *zone)
+/* Draws a member of a zone, or NULL. */
+static const struct cs_member *member_of(struct cs_policy *p, unsigned zone)
 {
-	const struct cs_member *found = NULL;
-	unsigned i, n = 0;
+	unsigned n = p->first[zone + 1] - p->first[zone];
 
-	for (i = 0; i < p->n_members; i++)
-		if (strcmp(p->members[i].zone, zone) == 0 && cs_rng_below(&p->rng, ++n) == 0)
-			found = &p->members[i];
-	return found;
+	return n > 0 ? &p->members[p->first[zone] + cs_rng_below(&p->rng, n)] : NULL;
 }
 
 static void hop_to(const struct cs_member *m, struct cs_decision *out)
@@ -151,9 +215,9 @@
 {
 	const struct cs_member *m;
 
-	if (c->svc->capacity[c->pool] > 0 || TAILQ_EMPTY(&c->svc->targets))
+	if (c->svc->capacity[c->pool] > 0 || TAILQ_EMPTY(&c->svc->targets) || p->zone < 0)
 		return false;
-	m = member_of(p, p->opts.zone);
+	m = member_of(p, (unsigned)p->zone);
 	if (m == NULL)
 		return false;
 	hop_to(m, out);
@@ -165,25 +229,29 @@
 {
 	const struct cs_member *m;
 	struct room *found = NULL;
-	unsigned tier, i;
+	unsigned tier, z;
 	double sum, w;
 
-	for (tier = 0; tier < 2 && found == NULL && p->rooms != NULL; tier++) {
+	if (p->rooms == NULL || c->svc->index < 0)
+		return false;
+	for (tier = 0; tier < 2 && found == NULL; tier++) {
 		sum = 0;
-		for (i = 0; i < p->n_rooms; i++) {
-			if (tier_of(p, &p->rooms[i]) != tier)
+		for (z = 0; z < p->cfg->n_zones; z++) {
+			struct room *r = room_at(p, z, (unsigned)c->svc->index);
+
+			if (tier_of(p, r) != tier)
 				continue;
-			w = room_weight(p, &p->rooms[i], c, moved, now_us);
+			w = room_weight(p, r, moved, now_us);
 			if (w <= 0)
 				continue;
 			sum += w;
 			if (cs_rng_unit(&p->rng) * sum < w)
-				found = &p->rooms[i];
+				found = r;
 		}
 	}
 	if (found == NULL)
 		return false;
-	m = member_of(p, found->zone);
+	m = member_of(p, (unsigned)found->zone_index);
 	if (m == NULL)
 		return false;
 	found->sent++;
@@ -196,12 +264,14 @@
 {
 	struct cls *c = policy_class(p, class_index);
 	struct room *r;
+	int at;
 
-	if (c == NULL || c->svc->index < 0)
+	if (c == NULL || c->svc->index < 0 || p->rooms == NULL)
 		return;
-	r = room_find(p, zone, c->svc->index);
-	if (r == NULL)
+	at = cs_config_zone(p->cfg, zone);
+	if (at < 0)
 		return;
+	r = room_at(p, (unsigned)at, (unsigned)c->svc->index);
 	if (r->sent > 0)
 		r->sent--;
 	if (!refused) {
--- a/tests/bench/bench-policy.c
+++ b/tests/bench/bench-policy.c
@@ -125,10 +125,43 @@
 	cs_view_destroy(v);
 }
 
+/* Cost of a new view at an instance of a zone with 18 instances and 260 zones elsewhere. */
+static void bench_update(unsigned servers)
+{
+	struct fx_shape shape = {.regions = 26, .zones = 10, .no_bulk = true};
+	struct cs_view *v = fx_view(&shape);
+	struct cs_policy *p = fx_policy("i-0", 1);
+	uint64_t now = 100 * S, began;
+	char name[32];
+	unsigned i;
+
+	for (i = 0; i < 1700; i++) {
+		snprintf(name, sizeof(name), "i-%u", i);
+		fx_member(v, name, v->cfg->zones[i < 18 ? 0 : i % 260].name);
+	}
+	for (i = 0; i < 260; i++) {
+		fx_load(v, v->cfg->zones[i].name, "web", 100, 50);
+		fx_load(v, v->cfg->zones[i].name, "files", 100, 50);
+	}
+	for (i = 0; i < servers; i++) {
+		snprintf(name, sizeof(name), "s-%u", i);
+		fx_server(v, name, "web", "z-0-0");
+	}
+	cs_policy_update(p, v, now);
+	began = cs_mono_us();
+	for (i = 0; i < 100; i++)
+		cs_policy_update(p, v, now += S / 4);
+	printf("update_us_%u %.0f us\n", servers, ns_since(began, 100) / 1000);
+	cs_policy_destroy(p);
+	cs_view_destroy(v);
+}
+
 int main(void)
 {
 	bench_decide(20);
 	bench_decide(2000);
+	bench_update(20);
+	bench_update(2000);
 	bench_locate(1000);
 	bench_locate(110000);
 	return 0;
