policy: settle the plan, and weigh polls against first-hand knowledge

A server that polls wrongly call down lost its work although it answered; a server's own word of a drain that no poll saw stayed for ever.

Change: cs_plan_renew takes the former plan and works out the need of each zone's callers. A server that answered within 2 s stays in use when polls call it down; a server's word outweighs the view for 5 s. The fault "caps" also opens full servers.

--- a/lib/policy/decide.c
+++ b/lib/policy/decide.c
@@ -67,7 +67,7 @@
 	const struct cs_target *t;
 
 	TAILQ_FOREACH(t, &s->targets, in_svc)
-		if (t->listed && t->state == CS_SERVER_READY)
+		if (t->listed && (t->state == CS_SERVER_READY || t->n_flights > 0))
 			return true;
 	return false;
 }
--- a/lib/policy/internal.h
+++ b/lib/policy/internal.h
@@ -53,6 +53,8 @@
 	/* State: the later one of the view's and the server's own word counts. */
 	enum cs_server_state viewed;
 	enum cs_server_state state;
+	uint64_t said_us; /* time of the server's own word */
+	uint64_t ok_us; /* time of the last whole answer */
 	/* Limits of this instance. */
 	unsigned slots; /* as reported; 0: unknown */
 	unsigned share[POOLS];
--- a/lib/policy/plan.c
+++ b/lib/policy/plan.c
@@ -7,6 +7,9 @@
 
 #include "policy/internal.h"
 
+#define NEED_WEIGHT 0.3 /* of a new measurement; lookups and digests are seconds late */
+#define STAY_MIN 0.1
+
 /* A zone that takes part of a caller zone's callers; up_to is the running sum of parts. */
 struct part {
 	uint16_t zone;
@@ -22,6 +25,7 @@
 	struct part *parts; /* all rows one after the other */
 	unsigned *row; /* per (service, caller zone): its first part; one more at the end */
 	unsigned n_parts, cap_parts;
+	float *need; /* per (service, caller zone): slots that its callers need */
 };
 
 static bool usable(const struct cs_config *cfg, const struct cs_member *m)
@@ -114,11 +118,59 @@
 
 /* Figures of one service while its rows are made. */
 struct demand {
-	double *need; /* requests of each zone's callers */
+	double *need; /* slots that each zone's callers need */
+	double *sent; /* of the measured load of each zone, from callers of other zones */
 	double *room; /* slots less headroom that are not taken yet */
 	bool *entry; /* the zone has entry instances and servers */
 };
 
+/* Part of a caller zone's callers that a plan sends to a zone. */
+static double part_of(const struct cs_plan *plan, unsigned service, unsigned from, unsigned to)
+{
+	unsigned row = service * plan->cfg->n_zones + from, i;
+	double below = 0;
+
+	for (i = plan->row[row]; i < plan->row[row + 1]; i++) {
+		if (plan->parts[i].zone == to)
+			return (double)plan->parts[i].up_to - below;
+		below = plan->parts[i].up_to;
+	}
+	return 0;
+}
+
+/*
+ * Turns the measured load of each zone into the need of its callers. The load is what the former
+ * plan left after its own steering: without this step a zone whose overflow went elsewhere would
+ * look as if it had room for all of its callers, and the plan would swing.
+ */
+static void demand_unsteer(const struct cs_plan *prev, unsigned service, struct demand *d)
+{
+	unsigned n = prev->cfg->n_zones, z, i;
+
+	memset(d->sent, 0, n * sizeof(*d->sent));
+	for (z = 0; z < n; z++) {
+		unsigned row = service * n + z;
+		double below = 0;
+
+		for (i = prev->row[row]; i < prev->row[row + 1]; i++) {
+			if (prev->parts[i].zone != z)
+				d->sent[prev->parts[i].zone] +=
+					prev->need[row] * (prev->parts[i].up_to - below);
+			below = prev->parts[i].up_to;
+		}
+	}
+	for (z = 0; z < n; z++) {
+		double own = d->need[z] > d->sent[z] ? d->need[z] - d->sent[z] : 0;
+		double stay = part_of(prev, service, z, z), was = prev->need[service * n + z];
+
+		/* From a small part little can be told: the former need fades. */
+		if (stay < STAY_MIN)
+			d->need[z] = was * (1 - NEED_WEIGHT / 4);
+		else
+			d->need[z] = was + NEED_WEIGHT * (own / stay - was);
+	}
+}
+
 static void demand_fill(const struct cs_plan *plan, const struct cs_view *v, unsigned service,
 			struct demand *d)
 {
@@ -175,7 +227,7 @@
 		part_add(plan, d->entry[from] || nearest == n ? from : nearest, 1);
 }
 
-static void rows_build(struct cs_plan *plan, const struct cs_view *v)
+static void rows_build(struct cs_plan *plan, const struct cs_view *v, const struct cs_plan *prev)
 {
 	const struct cs_config *cfg = plan->cfg;
 	unsigned n = cfg->n_zones, s, z;
@@ -183,10 +235,16 @@
 
 	d.need = cs_xcalloc(n, sizeof(*d.need));
 	d.room = cs_xcalloc(n, sizeof(*d.room));
+	d.sent = cs_xcalloc(n, sizeof(*d.sent));
+	plan->need = cs_xcalloc((size_t)cfg->n_services * n, sizeof(*plan->need));
 	d.entry = cs_xcalloc(n, sizeof(*d.entry));
 	plan->row = cs_xcalloc((size_t)cfg->n_services * n + 1, sizeof(*plan->row));
 	for (s = 0; s < cfg->n_services; s++) {
 		demand_fill(plan, v, s, &d);
+		if (prev != NULL)
+			demand_unsteer(prev, s, &d);
+		for (z = 0; z < n; z++)
+			plan->need[s * n + z] = (float)d.need[z];
 		/* Local demand comes first, then the overflow takes what is left. */
 		for (z = 0; z < n; z++)
 			if (d.entry[z])
@@ -206,10 +264,16 @@
 	plan->row[cfg->n_services * n] = plan->n_parts;
 	free(d.need);
 	free(d.room);
+	free(d.sent);
 	free(d.entry);
 }
 
 struct cs_plan *cs_plan_create(const struct cs_view *v, int64_t wall_ms)
+{
+	return cs_plan_renew(NULL, v, wall_ms);
+}
+
+struct cs_plan *cs_plan_renew(const struct cs_plan *prev, const struct cs_view *v, int64_t wall_ms)
 {
 	struct cs_plan *plan;
 
@@ -219,7 +283,10 @@
 	plan->cfg = cs_config_ref(v->cfg);
 	members_build(plan, v);
 	near_build(plan);
-	rows_build(plan, v);
+	/* Zone and service indexes are those of one configuration. */
+	if (prev != NULL && prev->cfg->revision != plan->cfg->revision)
+		prev = NULL;
+	rows_build(plan, v, prev);
 	return plan;
 }
 
@@ -233,6 +300,7 @@
 	free(plan->near);
 	free(plan->parts);
 	free(plan->row);
+	free(plan->need);
 	cs_config_unref(plan->cfg);
 	free(plan);
 }
--- a/lib/policy/policy.c
+++ b/lib/policy/policy.c
@@ -6,6 +6,9 @@
 
 #define WARM_US (10 * CS_US_PER_S) /* slow start */
 #define WARM_MIN 0.1
+#define OK_VALID_US (2 * CS_US_PER_S) /* an answer outweighs failed health checks for this time */
+/* A server's word outweighs the view until a poll each 500 ms and the way of its result are over. */
+#define SAID_VALID_US (5 * CS_US_PER_S)
 
 static int target_cmp(struct cs_target *a, struct cs_target *b);
 static void target_free(struct cs_policy *p, struct cs_target *t);
@@ -88,18 +91,26 @@
 	return part > WARM_MIN ? part : WARM_MIN;
 }
 
-static bool target_usable(const struct cs_target *t)
+/*
+ * Health checks may fail while the server works: as long as it answers, a server that only they
+ * call down stays in use.
+ */
+static bool target_usable(const struct cs_target *t, uint64_t now_us)
 {
-	return t->listed && t->state == CS_SERVER_READY;
+	if (!t->listed)
+		return false;
+	if (t->state == CS_SERVER_DOWN)
+		return t->ok_us > 0 && now_us < t->ok_us + OK_VALID_US;
+	return t->state == CS_SERVER_READY;
 }
 
 /* Sums the shares of usable targets whenever one of them changes. */
-static void capacity_set(struct cs_target *t)
+static void capacity_set(struct cs_target *t, uint64_t now_us)
 {
 	unsigned k, now;
 
 	for (k = 0; k < POOLS; k++) {
-		now = target_usable(t) ? t->share[k] : 0;
+		now = target_usable(t, now_us) ? t->share[k] : 0;
 		t->svc->capacity[k] += now - t->counted[k];
 		t->counted[k] = now;
 	}
@@ -108,9 +119,10 @@
 void open_refresh(struct cs_policy *p, struct cs_target *t, uint64_t now_us)
 {
 	unsigned k;
-	bool open = target_usable(t) && !backoff_active(t, now_us) && !eject_blocks(t, now_us);
+	bool open = target_usable(t, now_us) && !backoff_active(t, now_us) &&
+		    !eject_blocks(t, now_us);
 
-	capacity_set(t);
+	capacity_set(t, now_us);
 	for (k = 0; k < POOLS; k++) {
 		unsigned most = share_limit(p, t, k, now_us, now_us);
 		/* A server that started lately gets part of the share, at least one request. */
@@ -118,6 +130,9 @@
 		bool room = t->in_flight[k] < (warm > 0 ? warm : 1) &&
 			    share_has_room(p, t, k, now_us, now_us);
 
+		if (cs_fault("caps"))
+			room = true;
+
 		open_set(t, k, open && room);
 	}
 }
@@ -302,7 +317,7 @@
 	unsigned k;
 
 	t->listed = false;
-	capacity_set(t);
+	capacity_set(t, 0);
 	for (k = 0; k < POOLS; k++)
 		open_set(t, k, false);
 	if (t->ejected)
@@ -347,7 +362,7 @@
 		t->reported_us = sv->reported_us;
 		t->reported_load = (double)sv->reported_in_flight / (sv->slots > 0 ? sv->slots : 1);
 		/* A view that repeats its word does not undo what the server said since. */
-		if (sv->state != t->viewed)
+		if (sv->state != t->viewed || now_us >= t->said_us + SAID_VALID_US)
 			state_set(t, sv->state, now_us);
 		t->viewed = sv->state;
 	}
@@ -396,6 +411,7 @@
 void cs_policy_server_says(struct cs_policy *p, struct cs_target *t, enum cs_server_state st,
 			   uint64_t now_us)
 {
+	t->said_us = now_us;
 	if (st != t->state)
 		state_set(t, st, now_us);
 	open_refresh(p, t, now_us);
@@ -410,6 +426,8 @@
 
 	if (!flight_end(p, t, c, latency_us, now_us, &f))
 		return;
+	if (outcome == CS_OUTCOME_OK)
+		t->ok_us = now_us;
 	late = latency_sample(t, &f, outcome, latency_us, now_us);
 	if (outcome == CS_OUTCOME_REFUSED)
 		backoff_start(t, now_us);
--- a/lib/policy/policy.h
+++ b/lib/policy/policy.h
@@ -199,6 +199,11 @@
 /* Steering plan for lookups. */
 struct cs_plan;
 struct cs_plan *cs_plan_create(const struct cs_view *v, int64_t wall_ms);
+/*
+ * Plan for a newer view; prev may be NULL and is not needed afterwards. The former plan tells which
+ * part of the measured load is its own doing, so that the parts settle instead of swinging.
+ */
+struct cs_plan *cs_plan_renew(const struct cs_plan *prev, const struct cs_view *v, int64_t wall_ms);
 void cs_plan_destroy(struct cs_plan *plan);
 
 #define CS_LOCATE_MAX 4
--- a/tests/unit/test-policy-choice.c
+++ b/tests/unit/test-policy-choice.c
@@ -250,6 +250,51 @@
 	zone_destroy(&z);
 }
 
+/* Guards against a server's word of a state that lasts for ever although no poll confirms it. */
+static void test_said(void)
+{
+	struct zone z = zone_create(2);
+	struct cs_target *t = send(&z);
+	unsigned i;
+
+	cs_policy_server_says(z.p, t, CS_SERVER_DRAINING, z.now);
+	z.now += 4 * S;
+	cs_policy_update(z.p, z.v, z.now);
+	for (i = 0; i < 5; i++)
+		g_assert_true(send(&z) != t);
+	z.now += 2 * S;
+	cs_policy_update(z.p, z.v, z.now);
+	for (i = 0; i < 4 && send(&z) != t; i++)
+		;
+	g_assert_cmpuint(i, <, 4);
+	zone_destroy(&z);
+}
+
+/* Guards against servers that work and get nothing because their health checks fail. */
+static void test_misled(void)
+{
+	struct zone z = zone_create(2);
+	struct cs_decision d;
+	struct cs_ask ask;
+	unsigned i;
+
+	learn(&z, 60);
+	z.v->servers[0].state = z.v->servers[1].state = CS_SERVER_DOWN;
+	cs_policy_update(z.p, z.v, z.now);
+	for (i = 0; i < 10; i++) {
+		learn(&z, 1);
+		z.now += S;
+	}
+	/* Without answers the checks are believed. */
+	z.now += 5 * S;
+	cs_policy_update(z.p, z.v, z.now);
+	ask = fx_ask(FX_LOOKUPS, 1, z.now);
+	cs_policy_decide(z.p, &ask, z.now, &d);
+	g_assert_cmpint(d.verdict, ==, CS_VERDICT_REFUSE);
+	g_assert_cmpint(d.u.refuse.reason, ==, CS_REFUSAL_NO_SERVER);
+	zone_destroy(&z);
+}
+
 /* Guards against more than a third of the servers ejected, whatever happens. */
 static void test_over_ejection(void)
 {
@@ -288,6 +333,8 @@
 	g_test_add_func("/policy/choice/first-hand", test_first_hand);
 	g_test_add_func("/policy/choice/slow-start", test_slow_start);
 	g_test_add_func("/policy/choice/draining", test_draining);
+	g_test_add_func("/policy/choice/said", test_said);
+	g_test_add_func("/policy/choice/misled", test_misled);
 	g_test_add_func("/policy/choice/over-ejection", test_over_ejection);
 	return g_test_run();
 }
--- a/tests/unit/test-policy-plan.c
+++ b/tests/unit/test-policy-plan.c
@@ -242,6 +242,52 @@
 	cs_view_destroy(v);
 }
 
+/* Load that the parts of a plan bring to each zone, from the need of each zone's callers. */
+static void feed_back(const struct cs_plan *plan, struct cs_view *v, const double need[4])
+{
+	unsigned from, to;
+
+	for (to = 0; to < 4; to++) {
+		double load = 0;
+
+		for (from = 0; from < 4; from++)
+			load += need[from] * part_to(plan, from, v->cfg->zones[to].name, WALL);
+		v->loads[2 * to].in_flight = (unsigned)(load + 0.5);
+	}
+}
+
+/*
+ * Guards against a plan that swings: it sends the overflow away, sees a zone with room, takes all
+ * back, and sees an overload again.
+ */
+static void test_settles(void)
+{
+	static const double need[4] = {160, 40, 40, 40};
+	struct fx_shape shape = {0};
+	struct cs_view *v = four_zones(&shape, 2);
+	struct cs_plan *plan, *next;
+	double was = 1, now = 0, swing = 0;
+	unsigned round;
+
+	v->loads[0].in_flight = 160;
+	plan = cs_plan_create(v, WALL);
+	for (round = 0; round < 40; round++) {
+		feed_back(plan, v, need);
+		next = cs_plan_renew(plan, v, WALL);
+		cs_plan_destroy(plan);
+		plan = next;
+		now = part_to(plan, 0, "z-0-0", WALL);
+		if (round >= 20 && (now > was ? now - was : was - now) > swing)
+			swing = now > was ? now - was : was - now;
+		was = now;
+	}
+	g_assert_cmpfloat(swing, <=, 0.05);
+	g_assert_cmpfloat(now, >=, 0.4);
+	g_assert_cmpfloat(now, <=, 0.6);
+	cs_plan_destroy(plan);
+	cs_view_destroy(v);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -251,5 +297,6 @@
 	g_test_add_func("/policy/plan/drain", test_drain);
 	g_test_add_func("/policy/plan/spread", test_spread);
 	g_test_add_func("/policy/plan/last-zone", test_last_zone);
+	g_test_add_func("/policy/plan/settles", test_settles);
 	return g_test_run();
 }
