policy: hold shares after a proxy ended under a living agent

Cause: the incarnation of a member is its agent's; a proxy that crashes and starts again alone looked unchanged, so that its peers agreed at once while requests of the former process could still run.

Change: a member whose roster goes back to 0 counts as left for the hold time.

Left open: a restart so quick that no peer hears the 0, and a zone with one instance, which agrees with itself.

Checked: test-policy-share 9 passed, test-policy-share-random 1 passed; a copy without the mechanism fails "restart".

--- a/lib/policy/internal.h
+++ b/lib/policy/internal.h
@@ -169,6 +169,7 @@
 	uint64_t name;
 	uint64_t roster; /* 0: unknown, or it cannot name one now */
 	bool fresh; /* heard lately */
+	uint64_t ended_us; /* when its proxy was last seen to end; 0: never */
 };
 
 /* A zone's room for a service, from digests and hops. */
@@ -209,6 +210,7 @@
 	struct roster rosters[ROSTERS_MAX]; /* the last one is the present one */
 	struct peer *peers;
 	uint64_t share_due_us; /* next time at which a share may change; UINT64_MAX: none */
+	uint64_t now_us; /* latest time seen */
 	uint64_t tick_us;
 	struct cs_target *cursor; /* next target of the walk, see policy_tick */
 	uint64_t gap_until_us; /* borrowed slots are not used before */
@@ -254,7 +256,8 @@
 void share_refresh(struct cs_policy *p, uint64_t now_us);
 void share_clear(struct cs_policy *p);
 /* Keeps the roster that an instance named last; true if something changed. */
-bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster, bool fresh);
+bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster, bool fresh,
+	      uint64_t now_us);
 /* Slots that the target may run now for a request that ends by deadline_us. */
 unsigned share_limit(const struct cs_policy *p, const struct cs_target *t, unsigned pool,
 		     uint64_t deadline_us, uint64_t now_us);
--- a/lib/policy/policy.c
+++ b/lib/policy/policy.c
@@ -152,6 +152,7 @@
 
 	if (now_us < p->tick_us + TICK_US)
 		return;
+	p->now_us = now_us;
 	p->tick_us = now_us;
 	if (now_us >= p->share_due_us)
 		share_refresh(p, now_us);
@@ -379,6 +380,7 @@
 {
 	unsigned i;
 
+	p->now_us = now_us;
 	if (v->cfg != NULL)
 		config_set(p, v->cfg);
 	if (p->cfg == NULL)
@@ -388,7 +390,7 @@
 	for (i = 0; i < v->n_members; i++)
 		if (strcmp(v->members[i].zone, p->opts.zone) == 0)
 			peer_set(p, v->members[i].name, v->members[i].roster,
-				 v->members[i].state == CS_MEMBER_ALIVE);
+				 v->members[i].state == CS_MEMBER_ALIVE, now_us);
 	share_update(p, v, now_us);
 	spill_update(p, v);
 }
--- a/lib/policy/share.c
+++ b/lib/policy/share.c
@@ -66,11 +66,22 @@
 	return false;
 }
 
+/* Hold time of the service with the longest time limit. */
+static uint64_t longest_hold_us(const struct cs_policy *p)
+{
+	return LIST_LAG_US + shift_longest_timeout_ms(p->cfg) * CS_US_PER_MS;
+}
+
 /* True if some process that may still have requests at servers has left the rosters. */
 static bool leave_pending(const struct cs_policy *p)
 {
+	const struct roster *now = &p->rosters[p->n_rosters - 1];
 	unsigned i;
 
+	for (i = 0; i < p->n_peers; i++)
+		if (p->peers[i].ended_us > 0 && roster_find(now, p->peers[i].name) >= 0 &&
+		    p->now_us < p->peers[i].ended_us + longest_hold_us(p))
+			return true;
 	for (i = 0; i + 1 < p->n_rosters; i++)
 		if (!roster_nobody_left(&p->rosters[i], &p->rosters[p->n_rosters - 1]))
 			return true;
@@ -290,7 +301,8 @@
 	free(p->peers);
 }
 
-bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster, bool fresh)
+bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster, bool fresh,
+	      uint64_t now_us)
 {
 	uint64_t name = cs_hash_str(instance, 0);
 	unsigned i;
@@ -302,9 +314,13 @@
 		p->peers[p->n_peers++].name = name;
 		p->peers[i].roster = 0;
 		p->peers[i].fresh = false;
+		p->peers[i].ended_us = 0;
 	}
 	if (p->peers[i].roster == roster && p->peers[i].fresh == fresh)
 		return false;
+	/* A proxy names 0 only before its first view: its process ended, its agent goes on. */
+	if (p->peers[i].roster != 0 && roster == 0 && name != p->self)
+		p->peers[i].ended_us = now_us;
 	p->peers[i].roster = roster;
 	p->peers[i].fresh = fresh;
 	p->share_dirty = true;
@@ -314,7 +330,7 @@
 void cs_policy_peer_roster(struct cs_policy *p, const char *instance, uint64_t roster,
 			   uint64_t now_us)
 {
-	if (peer_set(p, instance, roster, true) && p->n_rosters > 1)
+	if (peer_set(p, instance, roster, true, now_us) && p->n_rosters > 1)
 		share_refresh(p, now_us);
 }
 
--- a/tests/unit/policy-fixture.c
+++ b/tests/unit/policy-fixture.c
@@ -154,12 +154,15 @@
 	return ask;
 }
 
-void fx_agree(struct cs_policy *p, const struct cs_view *v, uint64_t now_us)
+void fx_agree(struct cs_policy *p, struct cs_view *v, uint64_t now_us)
 {
 	uint64_t roster = cs_policy_roster(p);
 	unsigned i;
 
-	for (i = 0; i < v->n_members; i++)
-		if (strcmp(v->members[i].zone, "z-0-0") == 0)
-			cs_policy_peer_roster(p, v->members[i].name, roster, now_us);
+	for (i = 0; i < v->n_members; i++) {
+		if (strcmp(v->members[i].zone, "z-0-0") != 0)
+			continue;
+		v->members[i].roster = roster;
+		cs_policy_peer_roster(p, v->members[i].name, roster, now_us);
+	}
 }
--- a/tests/unit/policy-fixture.h
+++ b/tests/unit/policy-fixture.h
@@ -33,7 +33,7 @@
 struct cs_policy *fx_policy(const char *instance, uint64_t seed);
 /* A request of a class that arrives now with the class's timeout of 3 s. */
 struct cs_ask fx_ask(unsigned class_index, uint64_t hash, uint64_t now_us);
-/* Tells the policy that all members of the zone name its own roster. */
-void fx_agree(struct cs_policy *p, const struct cs_view *v, uint64_t now_us);
+/* Tells the policy that all members of the zone name its own roster, and keeps that in the view. */
+void fx_agree(struct cs_policy *p, struct cs_view *v, uint64_t now_us);
 
 #endif
--- a/tests/unit/test-policy-share.c
+++ b/tests/unit/test-policy-share.c
@@ -46,7 +46,7 @@
 }
 
 /* Policy of instance i-N that has agreed on the view. */
-static struct cs_policy *settled(unsigned n, const struct cs_view *v, uint64_t now_us)
+static struct cs_policy *settled(unsigned n, struct cs_view *v, uint64_t now_us)
 {
 	struct cs_policy *p;
 	char name[16];
@@ -162,6 +162,14 @@
 	g_assert_cmpuint(cs_policy_roster(p) & 0xffffffff, ==, 1);
 	cs_policy_update(p, v, START + 9 * S + TICK);
 	g_assert_cmpuint(cs_policy_roster(p) & 0xffffffff, >, 1);
+	/* The proxy alone ends: its agent names no roster until the new process has a view. */
+	v->members[1].roster = 0;
+	cs_policy_update(p, v, START + 11 * S);
+	v->members[1].roster = cs_policy_roster(p) | 2;
+	cs_policy_update(p, v, START + 12 * S);
+	g_assert_cmpuint(cs_policy_roster(p) & 0xffffffff, ==, 1);
+	cs_policy_update(p, v, START + 19 * S + TICK);
+	g_assert_cmpuint(cs_policy_roster(p) & 0xffffffff, >, 1);
 	cs_policy_destroy(p);
 	cs_view_destroy(v);
 }
