--- a/src/agentd/core-digest.c
+++ b/src/agentd/core-digest.c
@@ -138,6 +138,7 @@
 /* Now and then any zone is tried, so that parts of a split deployment find each other. */
 static void probe(struct core *c, uint64_t now_us)
 {
+	struct member *relays[CORE_RELAYS];
 	struct edge e = {.sent = c->row_clock};
 	struct zone_row *z;
 	unsigned n = 0;
@@ -148,9 +149,14 @@
 	for (z = zone_first(c); z != NULL; z = zone_next(z))
 		if (z != c->own && z->n_members > 0 && cs_rng_below(&c->rng, ++n) == 0)
 			e.to = z;
+	if (e.to == NULL)
+		return;
 	/* Without anything new this is a digest with the own row only. */
 	e.sent = c->own->touched > 0 ? c->own->touched - 1 : 0;
 	edge_send(c, &e, cs_rng_below(&c->rng, CORE_RELAYS), now_us);
+	/* A zone without the store asks the others for newer lists by a heartbeat. */
+	if (!c->store_shown && members_relays(c, e.to, relays, CORE_RELAYS) > 0)
+		members_send_heartbeat(c, relays[0]);
 }
 
 /* Sends to the members below the own place in the tree that the root spans. */
--- a/src/agentd/core-int.h
+++ b/src/agentd/core-int.h
@@ -184,6 +184,7 @@
 void member_update(struct core *c, struct member *m, uint64_t now_us);
 void members_heartbeat(struct core *c, const struct core_origin *from,
 		       const struct cs_wire_heartbeat *h, uint64_t now_us);
+void members_send_heartbeat(struct core *c, const struct member *to);
 void members_send_heartbeats(struct core *c, uint64_t now_us);
 /* True if the member counts for the choice of relays. */
 bool member_usable(const struct member *m);
--- a/src/agentd/core-members.c
+++ b/src/agentd/core-members.c
@@ -305,6 +305,14 @@
 	lists_seen(c, from, h->lists, now_us);
 }
 
+void members_send_heartbeat(struct core *c, const struct member *to)
+{
+	struct cs_wire_msg m = {0};
+
+	heartbeat_fill(c, &m);
+	core_post_member(c, to, &m);
+}
+
 void members_send_heartbeats(struct core *c, uint64_t now_us)
 {
 	struct cs_wire_msg m = {0};
