--- a/src/lookupd/steer.c
+++ b/src/lookupd/steer.c
@@ -162,17 +162,29 @@
 	make_plan(arg);
 }
 
+/* True if a configuration may replace the one in force. */
+static bool may_replace(const struct cs_config *cur, const struct cs_config *cfg)
+{
+	if (cfg == NULL)
+		return false;
+	if (cfg == cur || cfg->revision > cur->revision || cs_fault("revision"))
+		return true;
+	if (cfg->revision == cur->revision && strcmp(cfg->text, cur->text) != 0)
+		cs_log(CS_ERR, PART,
+		       "configuration refused: equal revision, other content. revision=%" PRIu64,
+		       cfg->revision);
+	return false;
+}
+
 /*
- * Keeps the configuration in force when the view has none or a lower revision: the agent may have
- * restarted, and an accepted configuration never reverts.
+ * Keeps the configuration in force when the view has none, a lower revision or other content at the
+ * same one: the agent may have restarted, and an accepted configuration never reverts.
  */
 static void keep_config(const struct steer *s, struct cs_view *v)
 {
 	const struct cs_view *cur = s->next != NULL ? s->next : s->view;
 
-	if (cur == NULL)
-		return;
-	if (v->cfg != NULL && (v->cfg->revision >= cur->cfg->revision || cs_fault("revision")))
+	if (cur == NULL || may_replace(cur->cfg, v->cfg))
 		return;
 	cs_config_unref(v->cfg);
 	v->cfg = cs_config_ref(cur->cfg);
--- /dev/null
+++ b/tests/unit/test-lookupd.c
@@ -0,0 +1,164 @@
+/* Tests of cassia-lookupd's view: configuration that never reverts, entries of members. */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/lookupd/lookupd.h"
+
+static struct cs_config *config_of(unsigned revision, const char *class)
+{
+	char *text = g_strdup_printf(
+		"{\"format\":1,\"deployment\":\"test\",\"revision\":%u,"
+		"\"network\":{\"zone_delay_ms\":1,\"region_delay_ms\":20,\"link_mbit_s\":4000},"
+		"\"regions\":[{\"name\":\"r\"}],"
+		"\"zones\":[{\"name\":\"a\",\"region\":\"r\"},{\"name\":\"b\",\"region\":\"r\"}],"
+		"\"services\":[{\"name\":\"s\",\"slots\":9,\"connections\":360}],"
+		"\"classes\":[{\"name\":\"%s\",\"service\":\"s\",\"idempotent\":true,"
+		"\"latency_target_ms\":100,\"timeout_ms\":1000}],"
+		"\"shift\":{\"cap_pct_s\":50,\"lookup_ttl_ms\":2000}}",
+		revision, class);
+	struct cs_msg msg = {""};
+	struct cs_config *cfg = cs_config_parse(text, strlen(text), &msg);
+
+	g_assert_cmpstr(msg.text, ==, "");
+	g_free(text);
+	return cfg;
+}
+
+/* View with n members in zone a; cfg may be NULL and is taken over. */
+static struct cs_view *view_of(struct cs_config *cfg, unsigned n)
+{
+	struct cs_view *v = cs_view_create();
+	unsigned i;
+
+	v->cfg = cfg;
+	v->n_members = n;
+	v->members = cs_xcalloc(n, sizeof(*v->members));
+	for (i = 0; i < n; i++) {
+		struct cs_member *m = &v->members[i];
+
+		snprintf(m->name, sizeof(m->name), "a-\"%u", i);
+		cs_copy(m->zone, sizeof(m->zone), "a");
+		snprintf(m->addr, sizeof(m->addr), i % 2 ? "::%x" : "10.0.0.%u", i + 1);
+		m->proxy_port = 8080;
+		m->listed = m->ready = true;
+	}
+	return v;
+}
+
+static void update(struct steer *s, struct cs_view *v)
+{
+	steer_update(s, v);
+	cs_view_destroy(v);
+}
+
+struct fixture {
+	struct ev_loop *loop;
+	struct cs_timers *timers;
+	struct steer *steer;
+};
+
+static void setup(struct fixture *f, gconstpointer arg)
+{
+	f->loop = ev_loop_new(EVFLAG_AUTO);
+	f->timers = cs_timers_create(f->loop);
+	f->steer = steer_create(f->timers);
+}
+
+static void teardown(struct fixture *f, gconstpointer arg)
+{
+	steer_destroy(f->steer);
+	cs_timers_destroy(f->timers);
+	ev_loop_destroy(f->loop);
+}
+
+/* Runs the loop until a waiting view is in force. */
+static void settle(struct fixture *f)
+{
+	uint64_t plans = steer_plans(f->steer);
+	int i;
+
+	for (i = 0; i < 100 && steer_plans(f->steer) == plans; i++) {
+		g_usleep(1000);
+		ev_run(f->loop, EVRUN_NOWAIT);
+	}
+}
+
+/* Guards against a configuration that reverts when the agent restarts with an older one or none. */
+static void test_never_reverts(struct fixture *f, gconstpointer arg)
+{
+	g_assert_null(steer_view(f->steer));
+	update(f->steer, view_of(NULL, 1));
+	g_assert_null(steer_view(f->steer));
+	update(f->steer, view_of(config_of(7, "new"), 1));
+	g_assert_cmpuint(steer_view(f->steer)->cfg->revision, ==, 7);
+	update(f->steer, view_of(config_of(6, "old"), 2));
+	settle(f);
+	g_assert_cmpuint(steer_view(f->steer)->cfg->revision, ==, 7);
+	g_assert_cmpuint(steer_view(f->steer)->n_members, ==, 2);
+	update(f->steer, view_of(NULL, 3));
+	settle(f);
+	g_assert_cmpuint(steer_view(f->steer)->cfg->revision, ==, 7);
+	g_assert_cmpuint(steer_view(f->steer)->n_members, ==, 3);
+}
+
+/* Guards against other content at a revision that is in force already. */
+static void test_equal_revision(struct fixture *f, gconstpointer arg)
+{
+	update(f->steer, view_of(config_of(7, "first"), 1));
+	update(f->steer, view_of(config_of(7, "other"), 2));
+	settle(f);
+	g_assert_cmpstr(steer_view(f->steer)->cfg->classes[0].name, ==, "first");
+	g_assert_cmpuint(steer_view(f->steer)->n_members, ==, 2);
+}
+
+/* Guards against a waiting view of a higher revision that a lower one replaces before it is used. */
+static void test_waiting_view(struct fixture *f, gconstpointer arg)
+{
+	update(f->steer, view_of(config_of(7, "seven"), 1));
+	update(f->steer, view_of(config_of(9, "nine"), 1));
+	update(f->steer, view_of(config_of(8, "eight"), 1));
+	settle(f);
+	g_assert_cmpuint(steer_view(f->steer)->cfg->revision, ==, 9);
+}
+
+/* Guards against entries of the wrong member, unescaped names and IPv6 without brackets. */
+static void test_entries(struct fixture *f, gconstpointer arg)
+{
+	struct cs_member m = {.name = "a-\"1"}, absent = {.name = "nobody"};
+	const char *text;
+	size_t len;
+	unsigned i;
+
+	update(f->steer, view_of(config_of(7, "k"), 200));
+	for (i = 0; i < 200; i++) {
+		char name[CS_NAME_MAX], want[64];
+
+		snprintf(name, sizeof(name), "a-\"%u", i);
+		cs_copy(m.name, sizeof(m.name), name);
+		text = steer_entry(f->steer, &m, &len);
+		g_assert_nonnull(text);
+		g_assert_cmpuint(len, ==, strlen(text));
+		snprintf(want, sizeof(want), "\"instance\":\"a-\\\"%u\"", i);
+		g_assert_nonnull(strstr(text, want));
+	}
+	cs_copy(m.name, sizeof(m.name), "a-\"1");
+	text = steer_entry(f->steer, &m, &len);
+	g_assert_nonnull(strstr(text, "\"url\":\"http://[::2]:8080\""));
+	g_assert_null(steer_entry(f->steer, &absent, &len));
+	text = steer_prefix(f->steer, 0, &len);
+	g_assert_cmpstr(text, ==, "{\"class\":\"k\",\"revision\":7,\"ttl_ms\":2000,\"entries\":[");
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add("/lookupd/never-reverts", struct fixture, NULL, setup, test_never_reverts,
+		   teardown);
+	g_test_add("/lookupd/equal-revision", struct fixture, NULL, setup, test_equal_revision,
+		   teardown);
+	g_test_add("/lookupd/waiting-view", struct fixture, NULL, setup, test_waiting_view,
+		   teardown);
+	g_test_add("/lookupd/entries", struct fixture, NULL, setup, test_entries, teardown);
+	return g_test_run();
+}
