Keep cassiactl near linear in instances; test the refusal of a drain without capacity

Cause: merging states and samples compared all rows with all rows, and status asked every agent for a state that names all members. Change: merged rows are found by hash, samples are sorted; above 64 instances status asks one agent of each zone. ctl-deployment.sh fills the slots and expects the refusal with the figure.

--- a/src/ctl/burn-record.c
+++ b/src/ctl/burn-record.c
@@ -53,6 +53,7 @@
 		s->rows[s->n++] = c;
 	}
 	json_decref(doc);
+	sample_sort(s);
 	if (!ok)
 		sample_free(s);
 	return ok;
--- a/src/ctl/cmd-status.c
+++ b/src/ctl/cmd-status.c
@@ -5,16 +5,43 @@
 
 #include "src/ctl/fleet.h"
 
-/* State as the other instances see it; "unknown" if no agent answered. */
-static const char *seen_state(const struct cs_view *v, const char *name)
+/*
+ * Above this number of instances only one agent of each zone is asked, and tells of the others: a
+ * state names all members, so that asking all grows with the square of their number.
+ */
+#define ASK_ALL_MAX 64
+
+/* What is known of an instance, from its own agent or from another one of its zone. */
+struct known {
+	const char *state; /* as the other instances see it */
+	bool answers; /* its own agent was asked and answered */
+	bool told; /* by itself or by another agent */
+	bool ready;
+	uint64_t revision;
+};
+
+static struct known known_of(const struct ctl_instance *in, const struct cs_view *v)
 {
+	struct known k = {.state = "unknown", .answers = in->agent != NULL};
 	unsigned i;
 
 	for (i = 0; i < v->n_members; i++) {
-		if (strcmp(v->members[i].name, name) == 0)
-			return cs_member_state_name(v->members[i].state);
+		const struct cs_member *m = &v->members[i];
+
+		if (strcmp(m->name, in->name) != 0)
+			continue;
+		k.state = cs_member_state_name(m->state);
+		k.told = true;
+		k.ready = m->ready;
+		k.revision = m->revision;
+		break;
+	}
+	if (in->agent != NULL) {
+		k.told = true;
+		k.ready = json_is_true(json_object_get(in->agent, "ready"));
+		k.revision = (uint64_t)json_integer_value(json_object_get(in->agent, "revision"));
 	}
-	return "unknown";
+	return k;
 }
 
 /* Parts of an agent that are not ok, with their message; free() it. */
@@ -37,73 +64,60 @@
 
 static json_t *instance_json(const struct ctl_instance *in, const struct cs_view *v)
 {
+	struct known k = known_of(in, v);
 	char *bad = degraded(in->agent);
-	json_t *row =
-		json_pack("{s:s, s:s, s:s, s:s, s:s, s:b, s:b, s:I, s:b, s:s}", "instance",
-			  in->name, "zone", in->zone, "address", in->addr, "listed", in->listed,
-			  "state", seen_state(v, in->name), "answers", in->agent != NULL, "ready",
-			  json_is_true(json_object_get(in->agent, "ready")), "revision",
-			  json_integer_value(json_object_get(in->agent, "revision")), "watcher",
-			  json_is_true(json_object_get(in->agent, "watcher")), "degraded", bad);
+	json_t *row = json_pack("{s:s, s:s, s:s, s:s, s:s, s:b, s:b, s:I, s:b, s:s}", "instance",
+				in->name, "zone", in->zone, "address", in->addr, "listed",
+				in->listed, "state", k.state, "answers", k.answers, "ready",
+				k.ready, "revision", (json_int_t)k.revision, "watcher",
+				json_is_true(json_object_get(in->agent, "watcher")), "degraded",
+				bad);
 
 	g_free(bad);
 	return row;
 }
 
-static void print_instances(const struct ctl_fleet *fleet, const struct cs_view *v)
+static void print_instances(const struct ctl_fleet *fleet, const struct cs_view *v, bool all)
 {
 	struct ctl_table *t =
 		ctl_table_create("INSTANCE|ZONE|LISTED|STATE|READY|REVISION|WATCHER|NOTES");
 	unsigned i;
-	char *bad;
 
 	for (i = 0; i < fleet->n; i++) {
 		const struct ctl_instance *in = &fleet->list[i];
+		struct known k = known_of(in, v);
+		char *bad = degraded(in->agent);
 
-		bad = degraded(in->agent);
 		ctl_cell(t, "%s", in->name);
 		ctl_cell(t, "%s", in->zone);
 		ctl_cell(t, "%s", in->listed[0] ? in->listed : "no");
-		ctl_cell(t, "%s", seen_state(v, in->name));
-		ctl_cell(t, "%s",
-			 in->agent == NULL				     ? "-"
-			 : json_is_true(json_object_get(in->agent, "ready")) ? "yes"
-									     : "no");
-		ctl_cell(t, "%" PRId64,
-			 (int64_t)json_integer_value(json_object_get(in->agent, "revision")));
+		ctl_cell(t, "%s", k.state);
+		ctl_cell(t, "%s", !k.told ? "-" : k.ready ? "yes" : "no");
+		ctl_cell(t, "%" PRIu64, k.revision);
 		ctl_cell(t, "%s", json_is_true(json_object_get(in->agent, "watcher")) ? "yes" : "");
-		ctl_cell(t, "%s", in->agent == NULL ? "its agent does not answer" : bad);
+		ctl_cell(t, "%s", all && !k.answers ? "its agent does not answer" : bad);
 		g_free(bad);
 	}
 	ctl_table_print(t);
 }
 
-static unsigned behind(const struct ctl_fleet *fleet, uint64_t revision)
+static void print_head(const struct ctl_doc *doc, const struct ctl_fleet *fleet,
+		       const struct cs_view *v, bool all)
 {
-	unsigned i, n = 0;
-
-	for (i = 0; i < fleet->n; i++) {
-		json_int_t r =
-			json_integer_value(json_object_get(fleet->list[i].agent, "revision"));
-
-		n += fleet->list[i].agent != NULL && (uint64_t)r != revision;
-	}
-	return n;
-}
-
-static void print_head(const struct ctl_doc *doc, const struct ctl_fleet *fleet)
-{
-	unsigned i, answer = 0, ready = 0;
+	unsigned i, told = 0, ready = 0, other = 0;
 	char until[CS_TIME_MAX];
 
 	for (i = 0; i < fleet->n; i++) {
-		answer += fleet->list[i].agent != NULL;
-		ready += json_is_true(json_object_get(fleet->list[i].agent, "ready"));
+		struct known k = known_of(&fleet->list[i], v);
+
+		told += all ? k.answers : k.told;
+		ready += k.ready;
+		other += (all ? k.answers : k.told) && k.revision != doc->cfg->revision;
 	}
 	printf("deployment %s, revision %" PRIu64 ", read from %s\n", doc->cfg->deployment,
 	       doc->cfg->revision, fleet->from_store ? "the store" : "an instance");
-	printf("instances: %u listed, %u answer, %u ready, %u at another revision\n", fleet->n,
-	       answer, ready, behind(fleet, doc->cfg->revision));
+	printf("instances: %u listed, %u %s, %u ready, %u at another revision\n", fleet->n, told,
+	       all ? "answer" : "known by their zone", ready, other);
 	for (i = 0; i < doc->cfg->n_drains; i++) {
 		const struct cs_drain *d = &doc->cfg->drains[i];
 
@@ -124,13 +138,16 @@
 	struct cs_view *v;
 	json_t *list;
 	unsigned i;
+	bool all;
 	int rc;
 
 	rc = ctl_doc_load(ctl, &doc);
 	if (rc == CTL_OK)
-		rc = ctl_fleet_load(ctl, FLEET_AGENT, &fleet);
+		rc = ctl_fleet_load(ctl, 0, &fleet);
 	if (rc != CTL_OK)
 		goto out;
+	all = fleet.n <= ASK_ALL_MAX;
+	ctl_fleet_ask(ctl, FLEET_AGENT | (all ? 0 : FLEET_ONE_A_ZONE), &fleet);
 	v = ctl_fleet_view(&fleet, doc.cfg);
 	if (ctl->json) {
 		list = json_array();
@@ -141,8 +158,8 @@
 			(json_int_t)doc.cfg->revision, "from_store", fleet.from_store, "drains",
 			(int)doc.cfg->n_drains, "instances", list));
 	} else {
-		print_head(&doc, &fleet);
-		print_instances(&fleet, v);
+		print_head(&doc, &fleet, v, all);
+		print_instances(&fleet, v, all);
 	}
 	cs_view_destroy(v);
 out:
--- a/src/ctl/counters.c
+++ b/src/ctl/counters.c
@@ -42,15 +42,15 @@
 	return true;
 }
 
-static struct counters *row_for(struct sample *s, const char *class, const char *instance,
-				const char *zone)
+/* Row of a class among those of the instance that is being read, which begin at first. */
+static struct counters *row_for(struct sample *s, unsigned first, const char *class,
+				const char *instance, const char *zone)
 {
 	struct counters *c;
 	unsigned i;
 
-	for (i = 0; i < s->n; i++) {
-		if (strcmp(s->rows[i].class, class) == 0 &&
-		    strcmp(s->rows[i].instance, instance) == 0)
+	for (i = first; i < s->n; i++) {
+		if (strcmp(s->rows[i].class, class) == 0)
 			return &s->rows[i];
 	}
 	s->rows = cs_xrealloc(s->rows, s->n + 1, sizeof(*s->rows));
@@ -63,7 +63,8 @@
 }
 
 /* Takes one line "NAME{LABELS} VALUE" if it is one of the sources. */
-static void take_line(struct sample *s, const char *instance, const char *zone, const char *line)
+static void take_line(struct sample *s, unsigned first, const char *instance, const char *zone,
+		      const char *line)
 {
 	const char *open = strchr(line, '{'), *close = strrchr(line, '}');
 	char class[CS_NAME_MAX], quantile[16];
@@ -82,7 +83,7 @@
 		    (!label(open, "quantile", quantile, sizeof(quantile)) ||
 		     strcmp(quantile, sources[i].quantile) != 0))
 			continue;
-		row = row_for(s, class, instance, zone);
+		row = row_for(s, first, class, instance, zone);
 		slot = (uint64_t *)(void *)((char *)row + sources[i].offset);
 		*slot += g_ascii_strtoull(close + 1, NULL, 10);
 	}
@@ -91,11 +92,11 @@
 void sample_add_text(struct sample *s, const char *instance, const char *zone, const char *text)
 {
 	char **lines = g_strsplit(text, "\n", -1);
-	unsigned i;
+	unsigned first = s->n, i;
 
 	for (i = 0; lines[i] != NULL; i++) {
 		if (lines[i][0] != '#')
-			take_line(s, instance, zone, lines[i]);
+			take_line(s, first, instance, zone, lines[i]);
 	}
 	g_strfreev(lines);
 }
@@ -112,6 +113,7 @@
 		if (in->metrics != NULL)
 			sample_add_text(s, in->name, in->zone, in->metrics);
 	}
+	sample_sort(s);
 }
 
 void sample_free(struct sample *s)
@@ -120,16 +122,29 @@
 	memset(s, 0, sizeof(*s));
 }
 
+static int by_class(const void *a, const void *b)
+{
+	const struct counters *x = a, *y = b;
+	int d = strcmp(x->class, y->class);
+
+	return d != 0 ? d : strcmp(x->instance, y->instance);
+}
+
+void sample_sort(struct sample *s)
+{
+	if (s->n > 0)
+		qsort(s->rows, s->n, sizeof(*s->rows), by_class);
+}
+
 const struct counters *sample_find(const struct sample *s, const char *class, const char *instance)
 {
-	unsigned i;
+	struct counters key;
 
-	for (i = 0; i < s->n; i++) {
-		if (strcmp(s->rows[i].class, class) == 0 &&
-		    strcmp(s->rows[i].instance, instance) == 0)
-			return &s->rows[i];
-	}
-	return NULL;
+	if (s->n == 0)
+		return NULL;
+	cs_copy(key.class, sizeof(key.class), class);
+	cs_copy(key.instance, sizeof(key.instance), instance);
+	return bsearch(&key, s->rows, s->n, sizeof(*s->rows), by_class);
 }
 
 struct counters counters_since(const struct counters *later, const struct sample *earlier)
--- a/src/ctl/counters.h
+++ b/src/ctl/counters.h
@@ -24,8 +24,10 @@
 	unsigned n;
 };
 
-/* Reads the rows of one instance out of its metrics text. */
+/* Reads the rows of one instance out of its metrics text; sort when all are read. */
 void sample_add_text(struct sample *s, const char *instance, const char *zone, const char *text);
+/* Orders the rows for sample_find. */
+void sample_sort(struct sample *s);
 /* Reads all instances; the fleet's metrics must have been asked for. */
 void sample_take(struct sample *s, const struct ctl_fleet *fleet);
 void sample_free(struct sample *s);
--- a/src/ctl/view.c
+++ b/src/ctl/view.c
@@ -4,6 +4,12 @@
 
 #include "src/ctl/fleet.h"
 
+/* Rows by key, as index + 1, while a view is merged; 96 zones tell of 1,700 members each. */
+struct merge {
+	struct cs_view *view;
+	GHashTable *members, *servers, *loads;
+};
+
 static const char *text_of(const json_t *obj, const char *key)
 {
 	const char *s = json_string_value(json_object_get(obj, key));
@@ -37,10 +43,22 @@
 	return CS_MEMBER_DEAD;
 }
 
-static void merge_member(struct cs_view *v, const json_t *e)
+/* Index + 1 of a row, or 0. */
+static unsigned row_index(GHashTable *rows, const char *key)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(rows, key));
+}
+
+static void row_add(GHashTable *rows, const char *key, unsigned index_1)
+{
+	g_hash_table_insert(rows, g_strdup(key), GUINT_TO_POINTER(index_1));
+}
+
+static void merge_member(struct merge *g, const json_t *e)
 {
 	struct cs_member m = {.state = member_state(text_of(e, "state"))};
-	unsigned i;
+	struct cs_view *v = g->view;
+	unsigned at;
 
 	cs_copy(m.name, sizeof(m.name), text_of(e, "name"));
 	cs_copy(m.zone, sizeof(m.zone), text_of(e, "zone"));
@@ -53,22 +71,23 @@
 	m.ready = json_is_true(json_object_get(e, "ready"));
 	m.revision = (uint64_t)json_integer_value(json_object_get(e, "revision"));
 	m.silent_us = age_of(e, "silent_ms");
-	for (i = 0; i < v->n_members; i++) {
-		if (strcmp(v->members[i].name, m.name) != 0)
-			continue;
-		if (m.silent_us < v->members[i].silent_us)
-			v->members[i] = m;
+	at = row_index(g->members, m.name);
+	if (at > 0) {
+		if (m.silent_us < v->members[at - 1].silent_us)
+			v->members[at - 1] = m;
 		return;
 	}
 	v->members = cs_xrealloc(v->members, v->n_members + 1, sizeof(m));
 	v->members[v->n_members++] = m;
+	row_add(g->members, m.name, v->n_members);
 }
 
-static void merge_server(struct cs_view *v, const json_t *e)
+static void merge_server(struct merge *g, const json_t *e)
 {
 	struct cs_server s = {.port = (uint16_t)num_of(e, "port")};
 	int st = cs_server_state_parse(text_of(e, "state"));
-	unsigned i;
+	struct cs_view *v = g->view;
+	unsigned at;
 
 	cs_copy(s.name, sizeof(s.name), text_of(e, "name"));
 	cs_copy(s.service, sizeof(s.service), text_of(e, "service"));
@@ -79,21 +98,23 @@
 	s.reported_in_flight = num_of(e, "in_flight");
 	s.reported_us = num_of(e, "service_us");
 	s.reported_age_us = age_of(e, "age_ms");
-	for (i = 0; i < v->n_servers; i++) {
-		if (strcmp(v->servers[i].name, s.name) != 0)
-			continue;
-		if (s.reported_age_us < v->servers[i].reported_age_us)
-			v->servers[i] = s;
+	at = row_index(g->servers, s.name);
+	if (at > 0) {
+		if (s.reported_age_us < v->servers[at - 1].reported_age_us)
+			v->servers[at - 1] = s;
 		return;
 	}
 	v->servers = cs_xrealloc(v->servers, v->n_servers + 1, sizeof(s));
 	v->servers[v->n_servers++] = s;
+	row_add(g->servers, s.name, v->n_servers);
 }
 
-static void merge_load(struct cs_view *v, const json_t *e)
+static void merge_load(struct merge *g, const json_t *e)
 {
+	char key[2 * CS_NAME_MAX];
 	struct cs_zone_load l = {.capacity = num_of(e, "capacity")};
-	unsigned i;
+	struct cs_view *v = g->view;
+	unsigned at;
 
 	cs_copy(l.zone, sizeof(l.zone), text_of(e, "zone"));
 	cs_copy(l.service, sizeof(l.service), text_of(e, "service"));
@@ -103,44 +124,55 @@
 	l.service_us = num_of(e, "service_us");
 	l.out_of_target = json_is_true(json_object_get(e, "out_of_target"));
 	l.age_us = age_of(e, "age_ms");
-	for (i = 0; i < v->n_loads; i++) {
-		if (strcmp(v->loads[i].zone, l.zone) != 0 ||
-		    strcmp(v->loads[i].service, l.service) != 0)
-			continue;
-		if (l.age_us < v->loads[i].age_us)
-			v->loads[i] = l;
+	snprintf(key, sizeof(key), "%s %s", l.zone, l.service);
+	at = row_index(g->loads, key);
+	if (at > 0) {
+		if (l.age_us < v->loads[at - 1].age_us)
+			v->loads[at - 1] = l;
 		return;
 	}
 	v->loads = cs_xrealloc(v->loads, v->n_loads + 1, sizeof(l));
 	v->loads[v->n_loads++] = l;
+	row_add(g->loads, key, v->n_loads);
 }
 
-static void merge_rows(struct cs_view *v, const json_t *state, const char *key,
-		       void (*merge)(struct cs_view *, const json_t *))
+static void merge_rows(struct merge *g, const json_t *state, const char *key,
+		       void (*merge)(struct merge *, const json_t *))
 {
 	json_t *e;
 	size_t i;
 
 	json_array_foreach(json_object_get(state, key), i, e)
-		merge(v, e);
+		merge(g, e);
+}
+
+static GHashTable *rows_create(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 struct cs_view *ctl_fleet_view(const struct ctl_fleet *fleet, struct cs_config *cfg)
 {
-	struct cs_view *v = cs_view_create();
+	struct merge g = {.view = cs_view_create(),
+			  .members = rows_create(),
+			  .servers = rows_create(),
+			  .loads = rows_create()};
 	unsigned i;
 
-	v->cfg = cs_config_ref(cfg);
+	g.view->cfg = cs_config_ref(cfg);
 	for (i = 0; i < fleet->n; i++) {
 		const json_t *state = fleet->list[i].agent;
 
 		if (state == NULL)
 			continue;
-		merge_rows(v, state, "members", merge_member);
-		merge_rows(v, state, "servers", merge_server);
-		merge_rows(v, state, "loads", merge_load);
+		merge_rows(&g, state, "members", merge_member);
+		merge_rows(&g, state, "servers", merge_server);
+		merge_rows(&g, state, "loads", merge_load);
 	}
-	return v;
+	g_hash_table_destroy(g.members);
+	g_hash_table_destroy(g.servers);
+	g_hash_table_destroy(g.loads);
+	return g.view;
 }
 
 const struct cs_zone_load *ctl_load(const struct cs_view *v, const char *zone, const char *service)
--- a/tests/run/check.d/ctl-deployment.sh
+++ b/tests/run/check.d/ctl-deployment.sh
@@ -83,7 +83,36 @@
 expect 0 "servers:" explain status --from north-a-1
 expect 1 "no proxy knows" explain nosuch
 
-# A drain that the rest cannot take is refused with the figure; one that fits runs to its end.
+# A drain that the rest cannot take is refused with the figure: 24 requests run in both zones, where
+# the other one has 24 slots less 20% headroom.
+servers_control 'set?service=orders&service_ms=3000' >/dev/null || die "cannot slow the servers"
+# wave: 6 requests at each instance. Shares are smaller for some seconds after the start.
+wave() {
+	local inst n
+	curls=()
+	for inst in "${INSTANCES[@]}"; do
+		for n in 1 2 3 4 5 6; do
+			curl -s -m 8 --interface "127.$RUN.${INST_ZONE[$inst]}.200" -o /dev/null \
+				-H 'X-Cassia-Class: payments' "http://${INST_ADDR[$inst]}:$PROXY_PORT/$n" &
+			curls+=($!)
+		done
+	done
+}
+for try in 1 2 3 4; do
+	wave
+	sleep 1.5
+	busy=$(json zones | jq '[.[] | select(.service == "orders") | .in_flight] | add')
+	[ "$busy" -ge 20 ] && break
+	[ "$try" = 4 ] && die "only $busy of 24 requests run"
+	wait "${curls[@]}"
+done
+expect 3 "capacity of service orders is short by" drain start north-a --deadline +60s
+wait "${curls[@]}"
+servers_control 'set?service=orders&service_ms=20' >/dev/null
+
+# One that fits runs to its end.
+is_idle() { [ "$(json zones | jq '[.[].in_flight] | add')" = 0 ]; }
+until_ok 10 is_idle
 expect 3 "time is short by" drain start north-a --deadline +5s
 expect 0 "accepted" drain start north-a --deadline +30s
 expect 0 "ramping\|emptying" drain status
--- a/tests/unit/test-ctl.c
+++ b/tests/unit/test-ctl.c
@@ -66,6 +66,7 @@
 		ok + refused + 1, ok, within, refused);
 
 	sample_add_text(s, instance, zone, text);
+	sample_sort(s);
 	g_free(text);
 }
 
