Make cassia-proxyd ready only once it may use a slot

The demo's first request was refused with 503: readiness and the report to the agent said ready as soon as a configuration was known, while the slots of the zone's servers were not divided yet (capacity 0 in /v1/state for about one heartbeat). Ruled out: the lookup answer, which named the right instance. Ready now needs a share of some server once, or a zone without servers.

--- a/src/proxyd/admin.c
+++ b/src/proxyd/admin.c
@@ -50,12 +50,14 @@
 
 static void handle_readyz(struct request *req)
 {
-	const struct proxyd *p = req->proxyd;
+	struct proxyd *p = req->proxyd;
 
 	if (p->stop != STOP_NO)
 		reply_text(req, 503, "text/plain", cs_xstrdup("stopping\n"));
 	else if (cs_policy_config(p->policy) == NULL)
 		reply_text(req, 503, "text/plain", cs_xstrdup("no configuration\n"));
+	else if (!view_ready(p))
+		reply_text(req, 503, "text/plain", cs_xstrdup("no share of any server yet\n"));
 	else
 		reply_text(req, 200, "text/plain", cs_xstrdup("ready\n"));
 }
@@ -126,8 +128,8 @@
 
 	doc = json_pack("{s:s, s:s, s:s, s:s, s:b, s:s, s:I, s:I, s:i, s:i, s:I, s:o, s:o}", "kind",
 			"proxy", "instance", p->instance, "zone", p->zone, "version", CS_VERSION,
-			"ready", cfg != NULL && p->stop == STOP_NO, "stopping", stops[p->stop],
-			"revision", (json_int_t)(cfg ? cfg->revision : 0), "agent_silent_ms",
+			"ready", view_ready(p), "stopping", stops[p->stop], "revision",
+			(json_int_t)(cfg ? cfg->revision : 0), "agent_silent_ms",
 			(json_int_t)(silent == UINT64_MAX ? -1 : (int64_t)(silent / CS_US_PER_MS)),
 			"connections", p->n_conns, "requests", p->n_requests, "outcomes",
 			(json_int_t)outcomes_count(p->outcomes), "services", loads_json(p),
--- a/src/proxyd/proxyd.h
+++ b/src/proxyd/proxyd.h
@@ -172,6 +172,7 @@
 	bool bind_source; /* outgoing connections need the source address */
 	uint16_t port;
 	struct cs_policy *policy;
+	bool had_room; /* slots of the zone's servers were divided once */
 	struct cs_link *link;
 	struct cs_curl *lanes[LANE_MAX];
 	long lane_limits[LANE_MAX]; /* connections to one server */
@@ -271,6 +272,8 @@
 /* view.c: link and view */
 bool view_start(struct proxyd *p, const char *endpoint, struct cs_msg *msg);
 void view_stop(struct proxyd *p);
+/* Whether new work is welcome. */
+bool view_ready(struct proxyd *p);
 
 /* stop.c */
 void stop_watch(struct proxyd *p);
--- a/src/proxyd/view.c
+++ b/src/proxyd/view.c
@@ -4,6 +4,45 @@
 
 #include "src/proxyd/proxyd.h"
 
+/* Whether the view lists a server of the own zone. */
+static bool zone_has_servers(const struct proxyd *p, const struct cs_view *v)
+{
+	unsigned i;
+
+	for (i = 0; i < v->n_servers; i++)
+		if (strcmp(v->servers[i].zone, p->zone) == 0)
+			return true;
+	return false;
+}
+
+/* Whether this instance may use a slot of any server now. */
+static bool has_room(struct proxyd *p)
+{
+	unsigned n = cs_policy_loads(p->policy, NULL, 0, cs_mono_us()), i;
+	struct cs_policy_load *rows = cs_xcalloc(n, sizeof(*rows));
+	bool room = false;
+
+	n = cs_policy_loads(p->policy, rows, n, cs_mono_us());
+	for (i = 0; i < n; i++)
+		room = room || rows[i].capacity > 0;
+	free(rows);
+	return room;
+}
+
+/*
+ * New work is welcome once the slots of the zone's servers were divided. Before, an instance that
+ * just started would refuse what its lookups send it. Later loss of all servers does not count:
+ * requests can then go to another zone.
+ */
+bool view_ready(struct proxyd *p)
+{
+	if (p->stop != STOP_NO || cs_policy_config(p->policy) == NULL)
+		return false;
+	if (!p->had_room)
+		p->had_room = has_room(p);
+	return p->had_room;
+}
+
 static void on_view(const struct cs_view *v, void *arg);
 static void on_report(struct cs_report *r, void *arg);
 
@@ -78,7 +117,9 @@
 		cs_log(CS_NOTICE, "view", "Configuration in force. revision=%llu",
 		       (unsigned long long)cfg->revision);
 	}
-	*p->stats.ready = cfg != NULL && p->stop == STOP_NO;
+	if (!zone_has_servers(p, v))
+		p->had_room = true;
+	*p->stats.ready = view_ready(p);
 	p->pump = true;
 }
 
@@ -115,7 +156,8 @@
 	const struct cs_config *cfg = cs_policy_config(p->policy);
 
 	r->kind = CS_LINK_PROXY;
-	r->ready = cfg != NULL && p->stop == STOP_NO;
+	r->ready = view_ready(p);
+	*p->stats.ready = r->ready;
 	r->stopping = p->stop != STOP_NO;
 	r->roster = cs_policy_roster(p->policy);
 	r->revision = cfg ? cfg->revision : 0;
