--- a/src/proxyd/view.c
+++ b/src/proxyd/view.c
@@ -121,6 +121,7 @@
 		p->had_room = true;
 	*p->stats.ready = view_ready(p);
 	p->pump = true;
+	proxyd_wake(p);
 }
 
 /* Copies the policy's rows into the report. */
