Publish the last step of a zone's load to zero

cassiactl showed a drained zone with 1 request in flight for as long as it was asked, and the drain as late. Ruled out: slots kept by the proxies (their state says 0) and callers that go on (the servers ran nothing). A zone row is sent only when a load moved by more than a threshold, and 1 to 0 is below it. A step to zero now always counts. test_load_to_zero fails without the change (1 instead of 0) and passes with it.

--- a/src/agentd/core-load.c
+++ b/src/agentd/core-load.c
@@ -89,6 +89,12 @@
 	return a > b ? a - b > limit : b - a > limit;
 }
 
+/* A drain ends when its zone reports nothing in flight, so the last step to zero always counts. */
+static bool load_emptied(const struct row_load *l, const struct row_load *p)
+{
+	return (l->in_flight == 0 && p->in_flight > 0) || (l->waiting == 0 && p->waiting > 0);
+}
+
 /* True if the load differs enough from the published one for others to decide differently. */
 static bool load_moved(const struct row_load *l, const struct row_load *p)
 {
@@ -96,8 +102,8 @@
 
 	if (limit < CHANGE_MIN)
 		limit = CHANGE_MIN;
-	return far(l->in_flight, p->in_flight, limit) || far(l->waiting, p->waiting, limit) ||
-	       far(l->foreign, p->foreign, limit) ||
+	return load_emptied(l, p) || far(l->in_flight, p->in_flight, limit) ||
+	       far(l->waiting, p->waiting, limit) || far(l->foreign, p->foreign, limit) ||
 	       far(l->service_us, p->service_us, p->service_us / 4 + 1000);
 }
 
--- a/tests/unit/test-core.c
+++ b/tests/unit/test-core.c
@@ -99,6 +99,46 @@
 	net_end(&net);
 }
 
+/* In-flight requests of zone a as a node sees them. */
+static unsigned seen_in_flight(struct net *net, unsigned node)
+{
+	struct cs_view *v = core_view(net->nodes[node].core, net->now_us);
+	unsigned i, n = 0;
+
+	for (i = 0; i < v->n_loads; i++)
+		if (strcmp(v->loads[i].zone, "a") == 0)
+			n += v->loads[i].in_flight;
+	cs_view_destroy(v);
+	return n;
+}
+
+/* Reports a load four times over a second, as a proxy does. */
+static void report_for_a_second(struct net *net, unsigned in_flight)
+{
+	unsigned i;
+
+	for (i = 0; i < 4; i++) {
+		net_report(net, 0, true, in_flight);
+		net_run(net, 250);
+	}
+}
+
+/* Guards against a drained zone that reports its last request as running forever. */
+static void test_load_to_zero(void)
+{
+	struct net net;
+
+	start(&net, 1, 1, 0);
+	report_for_a_second(&net, 20);
+	report_for_a_second(&net, 1);
+	g_assert_cmpuint(seen_in_flight(&net, 1), ==, 1);
+	report_for_a_second(&net, 0);
+	report_for_a_second(&net, 0);
+	g_assert_cmpuint(seen_in_flight(&net, 1), ==, 0);
+	g_assert_cmpuint(seen_in_flight(&net, 0), ==, 0);
+	net_end(&net);
+}
+
 static void give_heartbeat(struct net *net, unsigned to, const char *instance, uint64_t incarnation,
 			   uint64_t sequence, bool leaving)
 {
@@ -368,6 +408,7 @@
 	g_test_add_func("/core/states", test_states);
 	g_test_add_func("/core/leave", test_leave);
 	g_test_add_func("/core/ready", test_ready);
+	g_test_add_func("/core/load-to-zero", test_load_to_zero);
 	g_test_add_func("/core/order", test_order);
 	g_test_add_func("/core/revision", test_revision);
 	g_test_add_func("/core/boot", test_boot);
