--- a/src/proxyd/main.c
+++ b/src/proxyd/main.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "src/proxyd/proxyd.h"
 
@@ -24,7 +25,7 @@
 	 .help = "HTTP port; 0 takes a free one"},
 	{.name = "agent",
 	 .kind = CS_SET_STRING,
-	 .def = "tcp://127.0.0.1:7003",
+	 .def = "tcp://127.0.0.1:7002",
 	 .unit = "",
 	 .help = "Local endpoint of the instance's agent"},
 	{.name = "choice",
@@ -86,6 +87,17 @@
 	return true;
 }
 
+/* Each caller and each server connection is one descriptor; the usual soft limit is 1024. */
+static void raise_descriptor_limit(void)
+{
+	struct rlimit rl;
+
+	if (getrlimit(RLIMIT_NOFILE, &rl) != 0)
+		return;
+	rl.rlim_cur = rl.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &rl);
+}
+
 /* Creates what needs no outside system. */
 static void parts_create(struct proxyd *p)
 {
@@ -203,6 +215,7 @@
 	if (!check_settings(&p, &msg))
 		goto bad;
 	signal(SIGPIPE, SIG_IGN);
+	raise_descriptor_limit();
 	curl_global_init(CURL_GLOBAL_NOTHING);
 	parts_create(&p);
 	if (!view_start(&p, cs_setting_text(settings, "agent"), &msg))
