Take a server's state at the head of its answer

Cause: X-Server-State was read at the end of the transfer, so that a server that leaves got new work for as long as an answer streamed.

Change: the head is enough.

proxy-answers, once, limits, hop and stop pass with the sanitizers.

--- a/src/proxyd/attempt.c
+++ b/src/proxyd/attempt.c
@@ -449,13 +449,16 @@
 	return CURL_READFUNC_PAUSE;
 }
 
-/* The server's own word on its state. */
-static void take_server_state(struct attempt *att)
+void attempt_take_state(struct attempt *att)
 {
-	const char *state = head_get(&att->head, "X-Server-State");
+	const char *state;
 	int i;
 
-	if (!att->head_done || state == NULL || att->kind != ATTEMPT_SERVER)
+	if (!att->head_done || att->state_taken || att->kind != ATTEMPT_SERVER)
+		return;
+	att->state_taken = true;
+	state = head_get(&att->head, "X-Server-State");
+	if (state == NULL)
 		return;
 	i = cs_server_state_parse(state);
 	if (i >= 0)
@@ -481,6 +484,5 @@
 	if (code != CURLE_OK)
 		cs_log(CS_DEBUG, "attempt", "Transfer ended early. peer=%s id=%s error=%s",
 		       att->name, att->req->id, curl_easy_strerror(code));
-	take_server_state(att);
 	request_progress(att->req);
 }
--- a/src/proxyd/proxyd.h
+++ b/src/proxyd/proxyd.h
@@ -70,6 +70,7 @@
 	/* Answer. */
 	unsigned status;
 	bool head_done;
+	bool state_taken; /* the policy has the server's state from the head */
 	bool no_body;
 	bool refused; /* the answer says that it did not run */
 	bool whole; /* ended, all of it is in */
@@ -242,6 +243,8 @@
 void attempt_end(struct attempt *att, enum cs_outcome outcome);
 /* Gives an ended attempt back to the pool. */
 void attempt_free(struct attempt *att);
+/* Hands the server's own word on its state to the policy, once, when the head is in. */
+void attempt_take_state(struct attempt *att);
 /* More body bytes are in. */
 void attempt_body_ready(struct attempt *att);
 /* The caller took bytes of the answer. */
--- a/src/proxyd/request.c
+++ b/src/proxyd/request.c
@@ -419,6 +419,8 @@
 
 	if (req->gone)
 		return;
+	TAILQ_FOREACH(att, &req->attempts, entry)
+		attempt_take_state(att);
 	TAILQ_FOREACH_SAFE(att, &req->attempts, entry, next) {
 		if (req->winner != NULL)
 			break;
