--- a/src/ctl/counters.c
+++ b/src/ctl/counters.c
@@ -138,7 +138,7 @@
 
 const struct counters *sample_find(const struct sample *s, const char *class, const char *instance)
 {
-	struct counters key;
+	struct counters key = {0};
 
 	if (s->n == 0)
 		return NULL;
--- a/tests/run/check.d/ctl-write.sh
+++ b/tests/run/check.d/ctl-write.sh
@@ -86,9 +86,9 @@
 
 # A lost answer is resolved by the change id, also when the store stays away for a while.
 store_control 'set?lose=1' >/dev/null
-expect 0 "accepted at revision 10" class set status priority=7
+expect 0 "accepted at revision 10" class set status priority=0
 store_control 'set?delay_ms=500&lose=1' >/dev/null
-"$ctl" --json --timeout-ms 1500 class set status priority=8 >"$RUNDIR/unknown" 2>&1 &
+"$ctl" --json --timeout-ms 1500 class set status priority=1 >"$RUNDIR/unknown" 2>&1 &
 writer=$!
 sleep 1.2
 store_control 'set?outage=refuse' >/dev/null
@@ -115,5 +115,23 @@
 expect 0 "north-a" drain status
 expect 0 "accepted at revision 14" drain cancel north-a
 expect 3 "is not drained" drain cancel north-a
-[ "$("$ctl" history --json | jq length)" = 14 ] || die "the history has not every change once"
+
+# A drain races with a change of a class and with another drain of the same zone.
+store_control 'set?delay_ms=500' >/dev/null
+"$ctl" drain start north-a --deadline +1h >"$RUNDIR/race1" 2>&1 &
+racer[1]=$!
+"$ctl" class set photos priority=9 >"$RUNDIR/race2" 2>&1 &
+racer[2]=$!
+"$ctl" drain start north-a --deadline +2h >"$RUNDIR/race3" 2>&1 &
+racer[3]=$!
+for i in 1 2 3; do
+	wait "${racer[$i]}"
+	codes[i]=$?
+done
+store_control 'set?delay_ms=0' >/dev/null
+[ "${codes[2]}" = 0 ] || die "class set beside a drain: exit code ${codes[2]}, expected 0: $(cat "$RUNDIR/race2")"
+[ "$(printf '%s\n' "${codes[1]}" "${codes[3]}" | sort | xargs)" = "0 4" ] ||
+	die "two drains of one zone: exit codes ${codes[1]} ${codes[3]}, expected 0 and 4: $(cat "$RUNDIR/race1" "$RUNDIR/race3")"
+[ "$("$ctl" show --json | jq '.drains | length')" = 1 ] || die "two drains of one zone were written"
+[ "$("$ctl" history --json | jq length)" = 16 ] || die "the history has not every change once"
 echo "ok"
