--- a/src/ctl/io.c
+++ b/src/ctl/io.c
@@ -11,6 +11,8 @@
 struct wait {
 	struct ctl *ctl;
 	struct ctl_value *out;
+	struct cs_store_op *op;
+	enum cs_store_status late; /* of a call without an answer */
 	bool done;
 };
 
@@ -57,10 +59,30 @@
 	ev_break(w->ctl->loop, EVBREAK_ALL);
 }
 
-static void wait_done(struct wait *w)
+static void on_late(struct cs_timer *t, void *arg)
 {
+	struct wait *w = arg;
+
+	cs_store_cancel(w->op);
+	w->out->status = w->late;
+	cs_msg_set(&w->out->msg, "no answer within %u ms", w->ctl->timeout_ms);
+	w->done = true;
+	ev_break(w->ctl->loop, EVBREAK_ALL);
+}
+
+/* Waits for a call; past the time of --timeout-ms it is cancelled and has the status late. */
+static void wait_op(struct wait *w, struct cs_store_op *op, enum cs_store_status late)
+{
+	struct cs_timer t;
+
+	memset(&t, 0, sizeof(t));
+	w->op = op;
+	w->late = late;
+	cs_timer_init(&t, on_late, w);
+	cs_timer_start(w->ctl->timers, &t, w->ctl->timeout_ms * CS_US_PER_MS);
 	while (!w->done)
 		ev_run(w->ctl->loop, 0);
+	cs_timer_stop(&t);
 }
 
 void ctl_get(struct ctl *ctl, const char *key, struct ctl_value *out)
@@ -68,8 +90,7 @@
 	struct wait w = {.ctl = ctl, .out = out};
 
 	memset(out, 0, sizeof(*out));
-	cs_store_get(ctl->store, key, on_store, &w);
-	wait_done(&w);
+	wait_op(&w, cs_store_get(ctl->store, key, on_store, &w), CS_STORE_UNAVAILABLE);
 }
 
 void ctl_put(struct ctl *ctl, const char *key, const char *text, uint64_t index,
@@ -78,8 +99,8 @@
 	struct wait w = {.ctl = ctl, .out = out};
 
 	memset(out, 0, sizeof(*out));
-	cs_store_put(ctl->store, key, text, strlen(text), index, on_store, &w);
-	wait_done(&w);
+	wait_op(&w, cs_store_put(ctl->store, key, text, strlen(text), index, on_store, &w),
+		CS_STORE_UNKNOWN);
 }
 
 void ctl_list(struct ctl *ctl, const char *service, struct ctl_value *out)
@@ -87,8 +108,7 @@
 	struct wait w = {.ctl = ctl, .out = out};
 
 	memset(out, 0, sizeof(*out));
-	cs_store_list(ctl->store, service, 0, 0, on_store, &w);
-	wait_done(&w);
+	wait_op(&w, cs_store_list(ctl->store, service, 0, 0, on_store, &w), CS_STORE_UNAVAILABLE);
 }
 
 struct batch {
@@ -170,5 +190,6 @@
 	memset(&t, 0, sizeof(t));
 	cs_timer_init(&t, on_sleep, &w);
 	cs_timer_start(ctl->timers, &t, us);
-	wait_done(&w);
+	while (!w.done)
+		ev_run(ctl->loop, 0);
 }
--- a/tests/run/check.d/ctl-write.sh
+++ b/tests/run/check.d/ctl-write.sh
@@ -104,7 +104,14 @@
 expect 3 "cannot any more" settle c-10-0000000000000000
 expect 5 "not taken effect so far" settle c-11-0000000000000000
 
-# A drain on the same target races, one on another target does not.
+# A store that takes calls and gives no answer: reading ends after the time that was asked for.
+store_control 'set?outage=hang' >/dev/null
+start=${EPOCHREALTIME/./}
+expect 6 "no answer within 500 ms" --timeout-ms 500 class set status priority=9
+[ $((${EPOCHREALTIME/./} - start)) -lt 2000000 ] || die "a silent store holds the command for over 2 s"
+store_control 'set?outage=none' >/dev/null
+
+# Drains: refusals, change, end.
 expect 3 "time is short by" drain start north-a --deadline +5s
 expect 3 "did you mean north-a?" drain start north-b --deadline +1h
 expect 2 "deadline: \"soon\"" drain start north-a --deadline soon
