Locate with one binary search and links between nested blocks

Cause: an address that no block holds took one binary search for each level of shared bits, and the comparison called memcmp. Change: each block links to the nearest one that holds it (4 bytes); comparisons use two 64-bit numbers. Tables without links still work. bench-policy links its own table and counts the links. Ruled out: keeping links in struct cs_block, tables built by hand would silently miss.

--- a/lib/model/addr.c
+++ b/lib/model/addr.c
@@ -1,5 +1,6 @@
 /* Addresses, client blocks and the longest-prefix search over the sorted block table. */
 #include <arpa/inet.h>
+#include <endian.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -90,49 +91,97 @@
 	return d != 0 ? d : (int)x->len - (int)y->len;
 }
 
+/* A block's address as two numbers, so that a comparison needs no call. */
+struct key {
+	uint64_t high, low;
+	unsigned len;
+};
+
+static struct key key_of(const uint8_t addr[16], unsigned len)
+{
+	struct key k = {.len = len};
+
+	memcpy(&k.high, addr, sizeof(k.high));
+	memcpy(&k.low, addr + sizeof(k.high), sizeof(k.low));
+	k.high = be64toh(k.high);
+	k.low = be64toh(k.low);
+	return k;
+}
+
+static bool is_after(const struct cs_block *b, const struct key *key)
+{
+	struct key k = key_of(b->addr, b->len);
+
+	if (k.high != key->high)
+		return k.high > key->high;
+	if (k.low != key->low)
+		return k.low > key->low;
+	return k.len > key->len;
+}
+
 /* Index of the last block that is not after the key, or -1. */
-static int last_not_after(const struct cs_block *blocks, unsigned n, const struct cs_block *key)
+static int last_not_after(const struct cs_block *blocks, unsigned n, const struct key *key)
 {
-	unsigned lo = 0, hi = n, mid;
-
-	while (lo < hi) {
-		mid = lo + (hi - lo) / 2;
-		if (cs_block_cmp(&blocks[mid], key) <= 0)
-			lo = mid + 1;
-		else
-			hi = mid;
+	unsigned base = 0, half;
+
+	if (n == 0 || is_after(&blocks[0], key))
+		return -1;
+	while (n > 1) {
+		half = n / 2;
+		base = is_after(&blocks[base + half], key) ? base : base + half;
+		n -= half;
 	}
-	return (int)lo - 1;
+	return (int)base;
 }
 
 /*
  * The last block at or before the address either holds it, and is then the longest, or shares c
- * bits with it. Every block that holds the address also holds that one's start and so has at most c
- * bits: the search goes on for the address cut to c bits. One step for each level of nesting.
+ * bits with it. Every block that holds the address also holds that one's start: it is found along
+ * the links. Without links, the search goes on for the address cut to c bits.
  */
-int cs_blocks_locate(const struct cs_block *blocks, unsigned n, const uint8_t addr[16])
+int cs_blocks_locate(const struct cs_block *blocks, const uint32_t *up, unsigned n,
+		     const uint8_t addr[16])
 {
-	struct cs_block key = {.len = 128};
+	struct key key = key_of(addr, 128);
+	uint8_t cut[16];
 	unsigned c;
-	int i;
+	int i = last_not_after(blocks, n, &key);
 
-	memcpy(key.addr, addr, sizeof(key.addr));
-	for (;;) {
-		i = last_not_after(blocks, n, &key);
-		if (i < 0)
-			return -1;
+	memcpy(cut, addr, sizeof(cut));
+	while (i >= 0) {
 		c = common_bits(blocks[i].addr, addr);
 		if (c >= blocks[i].len)
 			return i;
-		key.len = (uint8_t)c;
-		mask_bits(key.addr, c);
-		n = (unsigned)i;
+		if (up != NULL) {
+			i = (int)up[i] - 1;
+			continue;
+		}
+		mask_bits(cut, c);
+		key = key_of(cut, c);
+		i = last_not_after(blocks, (unsigned)i, &key);
+	}
+	return -1;
+}
+
+uint32_t *cs_blocks_link(const struct cs_block *blocks, unsigned n)
+{
+	uint32_t *up = cs_xcalloc(n, sizeof(*up)), at;
+	unsigned i;
+
+	for (i = 1; i < n; i++) {
+		/* The blocks that hold this one hold the one before it, or are it. */
+		for (at = i; at != 0; at = up[at - 1]) {
+			if (common_bits(blocks[at - 1].addr, blocks[i].addr) >= blocks[at - 1].len)
+				break;
+		}
+		up[i] = at;
 	}
+	return up;
 }
 
 int cs_config_locate(const struct cs_config *cfg, const uint8_t addr[16])
 {
-	int i = cs_blocks_locate(cfg->blocks, cfg->n_blocks, addr);
+	int i = cs_blocks_locate(cfg->blocks, cfg->block_up, cfg->n_blocks, addr);
 
 	return i < 0 ? -1 : cfg->blocks[i].zone;
 }
--- a/lib/model/config.c
+++ b/lib/model/config.c
@@ -350,6 +350,7 @@
 	if (cfg->n_blocks == 0)
 		return true;
 	qsort(cfg->blocks, cfg->n_blocks, sizeof(*cfg->blocks), cs_block_cmp);
+	cfg->block_up = cs_blocks_link(cfg->blocks, cfg->n_blocks);
 	for (i = 1; i < cfg->n_blocks; i++) {
 		const struct cs_block *b = &cfg->blocks[i];
 		char text[CS_BLOCK_MAX];
@@ -442,6 +443,7 @@
 	free(cfg->drains);
 	free(cfg->changes);
 	free(cfg->blocks);
+	free(cfg->block_up);
 	free(cfg->text);
 	free(cfg);
 }
--- a/lib/model/model.h
+++ b/lib/model/model.h
@@ -90,6 +90,8 @@
 	struct cs_drain *drains;
 	struct cs_change *changes; /* oldest first */
 	struct cs_block *blocks; /* sorted by address, then length */
+	uint32_t *
+		block_up; /* index + 1 of the nearest block that holds this one, 0: none; or NULL */
 	unsigned n_regions, n_zones, n_services, n_classes, n_drains, n_changes, n_blocks;
 	unsigned refs;
 	char *text; /* canonical JSON, as stored */
@@ -121,8 +123,14 @@
 void cs_block_format(const struct cs_block *b, char out[CS_BLOCK_MAX]);
 /* Order of the block table: by address, then length. */
 int cs_block_cmp(const void *a, const void *b);
-/* Index of the longest block of a sorted table that holds the address, or -1. */
-int cs_blocks_locate(const struct cs_block *blocks, unsigned n, const uint8_t addr[16]);
+/*
+ * Index of the longest block of a sorted table that holds the address, or -1. With the links of
+ * cs_blocks_link one binary search suffices; up may be NULL.
+ */
+int cs_blocks_locate(const struct cs_block *blocks, const uint32_t *up, unsigned n,
+		     const uint8_t addr[16]);
+/* For each block of a sorted table index + 1 of the nearest block that holds it; free() it. */
+uint32_t *cs_blocks_link(const struct cs_block *blocks, unsigned n);
 /* Wall-clock ms of a time as 2026-12-06T20:00:00Z; false if malformed. */
 bool cs_time_parse(const char *text, int64_t *ms);
 #define CS_TIME_MAX 32
--- a/src/lookupd/answer.c
+++ b/src/lookupd/answer.c
@@ -177,7 +177,7 @@
 						      cs_member_state_name(m->state), "reason",
 						      found.reason[i]));
 	}
-	block = cs_blocks_locate(v->cfg->blocks, v->cfg->n_blocks, ask.addr);
+	block = cs_blocks_locate(v->cfg->blocks, v->cfg->block_up, v->cfg->n_blocks, ask.addr);
 	zone = cs_config_locate(v->cfg, ask.addr);
 	if (block >= 0)
 		cs_block_format(&v->cfg->blocks[block], prefix);
--- a/tests/bench/bench-policy.c
+++ b/tests/bench/bench-policy.c
@@ -79,6 +79,8 @@
 		b->len = 96 + 24;
 		b->zone = (uint16_t)(cs_hash(&i, sizeof(i), 0) % cfg->n_zones);
 	}
+	free(cfg->block_up);
+	cfg->block_up = cs_blocks_link(cfg->blocks, blocks);
 }
 
 /* 260 zones in 26 regions, 1,700 instances. */
@@ -120,7 +122,8 @@
 	if (found != 500000)
 		printf("locate_missed %u lookups\n", 500000 - found);
 	if (blocks == 110000)
-		printf("blocks_mb_110000 %.2f MB\n", blocks * sizeof(struct cs_block) / 1e6);
+		printf("blocks_mb_110000 %.2f MB\n",
+		       blocks * (sizeof(*v->cfg->blocks) + sizeof(*v->cfg->block_up)) / 1e6);
 	cs_plan_destroy(plan);
 	cs_view_destroy(v);
 }
--- a/tests/unit/test-model.c
+++ b/tests/unit/test-model.c
@@ -274,6 +274,7 @@
 	cs_rng_seed(&rng, 7);
 	for (round = 0; round < 300; round++) {
 		struct cs_block blocks[64], tmp;
+		uint32_t *up;
 
 		for (i = 0; i < 64; i++) {
 			memset(&tmp, 0, sizeof(tmp));
@@ -288,13 +289,16 @@
 			if (cs_block_cmp(&blocks[n - 1], &blocks[i]) != 0)
 				blocks[n++] = blocks[i];
 		}
+		up = cs_blocks_link(blocks, n);
 		for (i = 0; i < 200; i++) {
 			uint8_t addr[16] = {(uint8_t)cs_rng_below(&rng, 256),
 					    (uint8_t)cs_rng_below(&rng, 256)};
+			int want = locate_slow(blocks, n, addr);
 
-			g_assert_cmpint(cs_blocks_locate(blocks, n, addr), ==,
-					locate_slow(blocks, n, addr));
+			g_assert_cmpint(cs_blocks_locate(blocks, NULL, n, addr), ==, want);
+			g_assert_cmpint(cs_blocks_locate(blocks, up, n, addr), ==, want);
 		}
+		free(up);
 	}
 }
 
