--- a/src/load/load.h
+++ b/src/load/load.h
@@ -77,6 +77,7 @@
 	char addr[46]; /* source address; empty: any */
 	char lookups[LOAD_LOOKUPS_MAX][128];
 	unsigned n_lookups, lookup; /* lookup: the one in use */
+	uint64_t failed_us; /* last time a lookup daemon did not answer */
 	TAILQ_HEAD(, route) routes;
 };
 
@@ -95,6 +96,7 @@
 	uint64_t upload_seed, answer_seed;
 	bool mismatch;
 	long status;
+	long port; /* local port of the last try */
 	char instance[LOAD_NAME_MAX], server[LOAD_NAME_MAX], ran[12];
 	CURLcode code;
 };
--- a/src/load/record.c
+++ b/src/load/record.c
@@ -84,14 +84,14 @@
 		"\"outcome\":\"%s\",\"status\":%ld,\"ran\":\"%s\",\"tries\":%u,\"entry\":\"%s\","
 		"\"instance\":\"%s\",\"server\":\"%s\",\"body\":\"%s\",\"answer_len\":%llu,"
 		"\"expect_len\":%llu,\"upload_len\":%llu,\"upload_digest\":\"%016llx\","
-		"\"curl\":%d}\n",
+		"\"port\":%ld,\"curl\":%d}\n",
 		r->id, s->class, s->idempotent ? "true" : "false", r->caller->addr,
 		(unsigned long long)r->planned_us, (unsigned long long)r->sent_us,
 		(unsigned long long)end_us, s->deadline_ms, outcome_names[out], r->status, r->ran,
 		r->tries, r->n_targets ? r->targets[r->target].instance : "", r->instance,
 		r->server, body_verdict(r), (unsigned long long)r->answer_pos,
 		(unsigned long long)s->answer_bytes, (unsigned long long)s->upload_bytes, digest,
-		(int)r->code);
+		r->port, (int)r->code);
 }
 
 void record_request(const struct request *r, enum outcome out, uint64_t end_us)
--- a/src/load/request.c
+++ b/src/load/request.c
@@ -255,6 +255,8 @@
 	enum outcome out;
 
 	r->code = code;
+	r->port = 0;
+	curl_easy_getinfo(easy, CURLINFO_LOCAL_PORT, &r->port);
 	if (code == CURLE_OK || r->answer_pos > 0)
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &r->status);
 	easy_put(easy);
--- a/src/load/route.c
+++ b/src/load/route.c
@@ -6,6 +6,7 @@
 #include "src/load/load.h"
 
 #define LOOKUP_TIMEOUT_MS 1000
+#define PREFER_US (5 * CS_US_PER_S) /* until the first lookup daemon is tried again */
 #define RETRY_US (200 * CS_US_PER_MS) /* before the next round when no lookup daemon answers */
 
 static void ask(struct route *rt);
@@ -81,6 +82,7 @@
 		return;
 	}
 	load.lookup_errors++;
+	c->failed_us = cs_mono_us();
 	c->lookup = (c->lookup + 1) % c->n_lookups;
 	if (++rt->tried < c->n_lookups) {
 		ask(rt);
@@ -118,5 +120,7 @@
 		return;
 	rt->asking = true;
 	rt->tried = 0;
+	if (cs_mono_us() - r->caller->failed_us > PREFER_US)
+		r->caller->lookup = 0;
 	ask(rt);
 }
--- a/tests/standins/links/links.h
+++ b/tests/standins/links/links.h
@@ -37,6 +37,9 @@
 	unsigned zone;
 	int fd;
 	ev_io io;
+	struct cs_timer probe; /* while closed because the real address refuses */
+	int probe_fd;
+	ev_io probe_io;
 	uint64_t connections, bytes_to, bytes_from;
 };
 TAILQ_HEAD(listener_list, listener);
@@ -64,6 +67,9 @@
 void relay_apply(void);
 unsigned relay_open(void);
 
+/* Writes a fact line for each caller whose connection the real address refused. */
+bool relay_log(const char *path, struct cs_msg *msg);
+
 /* control.c */
 bool control_start(const char *addr, uint16_t port, struct cs_msg *msg);
 
--- a/tests/standins/links/relay.c
+++ b/tests/standins/links/relay.c
@@ -1,11 +1,16 @@
 /*
  * Connections. Each direction is a queue of chunks with a delivery time; the directions that have
  * something to deliver are in a tree by that time, served by one timerfd.
+ *
+ * The relay has accepted a caller before it knows whether the real address accepts. When that
+ * refuses, the caller sees a reset, which is logged, and the listener is closed until the real
+ * address answers again, so that later callers are refused as they would be without a relay.
  */
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -15,6 +20,7 @@
 #include "tests/standins/links/links.h"
 
 #define CHUNK 65536
+#define PROBE_US (30 * CS_US_PER_MS) /* between tries of a refusing address */
 #define QUEUE_MAX (4 * 1024 * 1024) /* bytes on the way in one direction */
 
 struct chunk {
@@ -47,6 +53,8 @@
 	struct flow up, down; /* up: caller to server */
 	int client, server;
 	bool connecting;
+	struct listener *listener;
+	struct sockaddr_in peer;
 };
 
 RB_HEAD(flow_tree, flow);
@@ -56,11 +64,13 @@
 static unsigned n_conns;
 static int timer_fd;
 static ev_io timer_io;
+static FILE *log_file;
 
 static int flow_cmp(struct flow *a, struct flow *b);
 CS_RB_GENERATE(flow_tree, flow, entry, flow_cmp)
 
 static void flow_deliver(struct flow *f);
+static void refused(struct conn *c);
 
 static int flow_cmp(struct flow *a, struct flow *b)
 {
@@ -212,6 +222,8 @@
 	if (f->conn->connecting) {
 		getsockopt(f->to, SOL_SOCKET, SO_ERROR, &err, &len);
 		if (err != 0) {
+			if (err == ECONNREFUSED)
+				refused(f->conn);
 			conn_close(f->conn, true);
 			return;
 		}
@@ -299,6 +311,8 @@
 	c->client = fd;
 	c->server = server;
 	c->connecting = true;
+	c->listener = l;
+	c->peer = peer;
 	flow_init(&c->up, c, fd, server, pair_get(from, l->zone), &l->bytes_to);
 	flow_init(&c->down, c, server, fd, pair_get(l->zone, from), &l->bytes_from);
 	LIST_INSERT_HEAD(&conns, c, entry);
@@ -327,6 +341,80 @@
 	return n_conns;
 }
 
+static bool listener_open(struct listener *l, struct cs_msg *msg)
+{
+	l->fd = cs_listen(l->addr, l->port, &l->port, msg);
+	if (l->fd < 0)
+		return false;
+	ev_io_init(&l->io, on_accept, l->fd, EV_READ);
+	l->io.data = l;
+	ev_io_start(loop, &l->io);
+	return true;
+}
+
+/* The result of a try to connect to an address that refused. */
+static void on_probe_result(struct ev_loop *lp, ev_io *w, int events)
+{
+	struct listener *l = w->data;
+	socklen_t len = sizeof(int);
+	struct cs_msg msg;
+	int err = 0;
+
+	ev_io_stop(lp, w);
+	getsockopt(l->probe_fd, SOL_SOCKET, SO_ERROR, &err, &len);
+	close(l->probe_fd);
+	if (err != 0 || !listener_open(l, &msg))
+		cs_timer_start(timers, &l->probe, PROBE_US);
+}
+
+static void on_probe(struct cs_timer *t, void *arg)
+{
+	struct sockaddr_in self = {.sin_family = AF_INET};
+	struct listener *l = arg;
+
+	inet_pton(AF_INET, l->to_addr, &self.sin_addr);
+	l->probe_fd = connect_real(l, &self);
+	if (l->probe_fd < 0) {
+		cs_timer_start(timers, &l->probe, PROBE_US);
+		return;
+	}
+	ev_io_init(&l->probe_io, on_probe_result, l->probe_fd, EV_WRITE);
+	l->probe_io.data = l;
+	ev_io_start(loop, &l->probe_io);
+}
+
+/* The real address refused a connection: log the caller and refuse the next ones. */
+static void refused(struct conn *c)
+{
+	struct listener *l = c->listener;
+	char addr[46];
+
+	inet_ntop(AF_INET, &c->peer.sin_addr, addr, sizeof(addr));
+	if (log_file != NULL)
+		fprintf(log_file, "{\"fact\":\"refused\",\"name\":\"%s:%u\",\"from_us\":%llu}\n",
+			addr, ntohs(c->peer.sin_port), (unsigned long long)cs_mono_us());
+	if (l->fd < 0)
+		return;
+	ev_io_stop(loop, &l->io);
+	close(l->fd);
+	l->fd = -1;
+	cs_timer_init(&l->probe, on_probe, l);
+	cs_timer_start(timers, &l->probe, PROBE_US);
+}
+
+bool relay_log(const char *path, struct cs_msg *msg)
+{
+	if (*path == '\0')
+		return true;
+	log_file = fopen(path, "w");
+	if (log_file == NULL) {
+		cs_msg_set(msg, "%s: %s", path, strerror(errno));
+		return false;
+	}
+	setvbuf(log_file, NULL, _IOLBF, 0);
+	return true;
+}
+
 bool relay_start(struct cs_msg *msg)
 {
 	struct listener *l;
@@ -335,12 +423,8 @@
 	ev_io_init(&timer_io, on_timer, timer_fd, EV_READ);
 	ev_io_start(loop, &timer_io);
 	TAILQ_FOREACH(l, &listeners, entry) {
-		l->fd = cs_listen(l->addr, l->port, &l->port, msg);
-		if (l->fd < 0)
+		if (!listener_open(l, msg))
 			return false;
-		ev_io_init(&l->io, on_accept, l->fd, EV_READ);
-		l->io.data = l;
-		ev_io_start(loop, &l->io);
 	}
 	return true;
 }
--- a/tests/standins/planner/main.c
+++ b/tests/standins/planner/main.c
@@ -184,6 +184,10 @@
 	if ((on_instance || weighs_on_cap) && strcmp(f->zone, replaced) == 0 &&
 	    overlaps(f->from_ms, f->to_ms + SETTLE_MS, replace_from, replace_to))
 		return false;
+	/* The drain has to be stated before its deadline becomes infeasible. */
+	if ((f->kind->target == T_STORE || strcmp(f->name, "hole-store") == 0) &&
+	    overlaps(f->from_ms, f->to_ms, drain_from - 500, drain_from + 2000))
+		return false;
 	for (i = 0; i < n_faults; i++) {
 		g = &faults[i];
 		if (strcmp(g->target, f->target) == 0 && g->kind->target == f->kind->target &&
--- a/tests/unit/test-check.c
+++ b/tests/unit/test-check.c
@@ -262,6 +262,17 @@
 	expect(f, 0, "");
 }
 
+/* A fault that only explains late configurations does not explain moved traffic. */
+static void other_excuse(struct fixture *f, gconstpointer data)
+{
+	check_fact_line(f->check, "{\"fact\":\"fault\",\"what\":\"stop\",\"name\":\"a-1\","
+				  "\"zone\":\"a\",\"from_us\":19000000,\"to_us\":22000000,"
+				  "\"excuses\":\"config\"}");
+	shift(f, jump);
+	check_join(f->check);
+	g_assert_cmpuint(check_decide(f->check), >, 0);
+}
+
 static void drain_late(struct fixture *f, gconstpointer data)
 {
 	shift(f, never);
@@ -278,6 +289,20 @@
 	expect(f, 1, "stop");
 }
 
+/* A connection that the stopped instance refused carried no request. */
+static void stop_refuses(struct fixture *f, gconstpointer data)
+{
+	check_history_line(f->check,
+			   "{\"id\":\"q1\",\"idempotent\":true,\"caller\":\"127.9.1.200\","
+			   "\"planned_us\":5000000,\"sent_us\":5000000,\"end_us\":5001000,"
+			   "\"outcome\":\"unknown\",\"entry\":\"a-1\",\"port\":4242}");
+	check_fact_line(f->check, "{\"fact\":\"stop\",\"name\":\"a-1\",\"zone\":\"a\","
+				  "\"from_us\":4000000,\"to_us\":8000000}");
+	check_fact_line(f->check, "{\"fact\":\"refused\",\"name\":\"127.9.1.200:4242\","
+				  "\"from_us\":5000500}");
+	expect(f, 0, "");
+}
+
 static void seen(struct fixture *f, const char *name, unsigned boot, unsigned revision, uint64_t at)
 {
 	char *line = cs_xasprintf("{\"fact\":\"seen\",\"name\":\"%s\",\"zone\":\"a\",\"boot\":%u,"
@@ -367,8 +392,10 @@
 		{"cap/ramp", drain_in_time},
 		{"cap/jump", drain_over_cap},
 		{"cap/failover", failover_is_no_shift},
+		{"cap/other-excuse", other_excuse},
 		{"cap/late", drain_late},
 		{"stop/cut", stop_cuts},
+		{"stop/refused", stop_refuses},
 		{"config/sound", config_sound},
 		{"config/reverts", config_reverts},
 		{"config/late", config_late},
