--- a/src/proxyd/proxyd.h
+++ b/src/proxyd/proxyd.h
@@ -172,6 +172,7 @@
 	bool bind_source; /* outgoing connections need the source address */
 	uint16_t port;
 	struct cs_policy *policy;
+	bool had_room; /* slots of the zone's servers were divided once */
 	struct cs_link *link;
 	struct cs_curl *lanes[LANE_MAX];
 	long lane_limits[LANE_MAX]; /* connections to one server */
@@ -190,12 +191,16 @@
 	struct cs_rng ids; /* of request ids; a system call for each would be slow */
 	bool pump; /* waiting requests may go on */
 	ev_prepare before;
+	ev_idle awake; /* active while work or pump is set */
 	ev_signal term, intr;
 	enum stop_stage stop;
 	struct cs_timer stop_timer;
 	struct cs_report_load *report_loads;
 };
 
+/* Keeps the loop from sleeping until work and pump are served; call it after setting one. */
+void proxyd_wake(struct proxyd *p);
+
 /* server.c */
 bool server_start(struct proxyd *p, struct cs_msg *msg);
 void server_stop(struct proxyd *p);
@@ -271,6 +276,8 @@
 /* view.c: link and view */
 bool view_start(struct proxyd *p, const char *endpoint, struct cs_msg *msg);
 void view_stop(struct proxyd *p);
+/* Whether new work is welcome. */
+bool view_ready(struct proxyd *p);
 
 /* stop.c */
 void stop_watch(struct proxyd *p);
