--- a/src/proxyd/main.c
+++ b/src/proxyd/main.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "src/proxyd/proxyd.h"
 
@@ -24,7 +25,7 @@
 	 .help = "HTTP port; 0 takes a free one"},
 	{.name = "agent",
 	 .kind = CS_SET_STRING,
-	 .def = "tcp://127.0.0.1:7003",
+	 .def = "tcp://127.0.0.1:7002",
 	 .unit = "",
 	 .help = "Local endpoint of the instance's agent"},
 	{.name = "choice",
@@ -54,6 +55,7 @@
 };
 
 static void on_before(struct ev_loop *loop, ev_prepare *w, int events);
+static void on_awake(struct ev_loop *loop, ev_idle *w, int events);
 
 /* Names travel in messages and headers: 1 to 47 of [A-Za-z0-9._-]. */
 static bool check_name(const char *setting, const char *value, struct cs_msg *msg)
@@ -85,6 +87,17 @@
 	return true;
 }
 
+/* Each caller and each server connection is one descriptor; the usual soft limit is 1024. */
+static void raise_descriptor_limit(void)
+{
+	struct rlimit rl;
+
+	if (getrlimit(RLIMIT_NOFILE, &rl) != 0)
+		return;
+	rl.rlim_cur = rl.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &rl);
+}
+
 /* Creates what needs no outside system. */
 static void parts_create(struct proxyd *p)
 {
@@ -108,16 +121,20 @@
 	p->outcomes = outcomes_create(OUTCOME_ENTRIES_MAX, OUTCOME_BYTES_MAX, OUTCOME_KEEP_US);
 	p->sockets = sockets_create();
 	stats_init(&p->stats);
+	/*
+	 * Runs before MHD's own watcher, so that answers go out in the same turn, and after those
+	 * of the lanes: libev calls watchers of one priority last started first.
+	 */
+	ev_prepare_init(&p->before, on_before);
+	ev_set_priority(&p->before, EV_MAXPRI);
+	p->before.data = p;
+	ev_prepare_start(p->loop, &p->before);
+	ev_idle_init(&p->awake, on_awake);
 	for (i = 0; i < LANE_MAX; i++) {
 		p->lanes[i] = cs_curl_create(p->loop, p->timers);
 		curl_multi_setopt(cs_curl_multi(p->lanes[i]), CURLMOPT_MAXCONNECTS,
 				  LANE_CONNECTIONS_MAX);
 	}
-	/* Runs before MHD's own watcher, so that answers go out in the same turn. */
-	ev_prepare_init(&p->before, on_before);
-	ev_set_priority(&p->before, EV_MAXPRI);
-	p->before.data = p;
-	ev_prepare_start(p->loop, &p->before);
 	stop_watch(p);
 }
 
@@ -134,6 +151,7 @@
 		cs_curl_destroy(p->lanes[i]);
 	sockets_destroy(p->sockets);
 	ev_prepare_stop(p->loop, &p->before);
+	ev_idle_stop(p->loop, &p->awake);
 	outcomes_destroy(p->outcomes);
 	cs_policy_destroy(p->policy);
 	stats_free(&p->stats);
@@ -141,6 +159,16 @@
 	ev_loop_destroy(p->loop);
 }
 
+/* Only keeps the loop from sleeping. */
+static void on_awake(struct ev_loop *loop, ev_idle *w, int events)
+{
+}
+
+void proxyd_wake(struct proxyd *p)
+{
+	ev_idle_start(p->loop, &p->awake);
+}
+
 /* News from libcurl's callbacks, then waiting requests that can go on now. */
 static void on_before(struct ev_loop *loop, ev_prepare *w, int events)
 {
@@ -148,6 +176,7 @@
 	struct request *req;
 	struct cs_ask *ask;
 
+	ev_idle_stop(loop, &p->awake);
 	while ((req = TAILQ_FIRST(&p->work)) != NULL) {
 		TAILQ_REMOVE(&p->work, req, work_entry);
 		req->work = false;
@@ -186,6 +215,7 @@
 	if (!check_settings(&p, &msg))
 		goto bad;
 	signal(SIGPIPE, SIG_IGN);
+	raise_descriptor_limit();
 	curl_global_init(CURL_GLOBAL_NOTHING);
 	parts_create(&p);
 	if (!view_start(&p, cs_setting_text(settings, "agent"), &msg))
--- a/tests/bench/bench-policy.c
+++ b/tests/bench/bench-policy.c
@@ -79,6 +79,8 @@
 		b->len = 96 + 24;
 		b->zone = (uint16_t)(cs_hash(&i, sizeof(i), 0) % cfg->n_zones);
 	}
+	free(cfg->block_up);
+	cfg->block_up = cs_blocks_link(cfg->blocks, blocks);
 }
 
 /* 260 zones in 26 regions, 1,700 instances. */
@@ -114,13 +116,14 @@
 		addr[13] = (uint8_t)(b >> 8);
 		addr[14] = (uint8_t)b;
 		addr[15] = (uint8_t)(h >> 40);
-		found += cs_plan_locate(plan, FX_LOOKUPS, addr, 0, &l);
+		found += cs_plan_locate(plan, FX_LOOKUPS, addr, 0, 0, &l);
 	}
 	printf("locate_ns_%u %.0f ns\n", blocks, ns_since(began, 500000));
 	if (found != 500000)
 		printf("locate_missed %u lookups\n", 500000 - found);
 	if (blocks == 110000)
-		printf("blocks_mb_110000 %.2f MB\n", blocks * sizeof(struct cs_block) / 1e6);
+		printf("blocks_mb_110000 %.2f MB\n",
+		       blocks * (sizeof(*v->cfg->blocks) + sizeof(*v->cfg->block_up)) / 1e6);
 	cs_plan_destroy(plan);
 	cs_view_destroy(v);
 }
