policy: keep hedges for bursts and bound their delay

With 60 ms of service and a new set of slowed servers every 2 s, 1.5 in 100 requests reach slowed servers and 1 in 100 is a straggler: the 98th percentile was then theirs, and hedges came too late.

Change: the delay is at most 1.5 times the 95th percentile; 40 hedges may be saved up, half of them for bursts; the budget is 1.8 in 100, so that saved hedges stay within 2. Early trials come after 250 ms.

--- a/lib/policy/budget.c
+++ b/lib/policy/budget.c
@@ -4,8 +4,13 @@
 /* Parts of the requests; the caps bound bursts after a quiet time. */
 #define RETRY_PART 0.10
 #define RETRY_CAP 10.0
-#define HEDGE_PART 0.02
-#define HEDGE_CAP 5.0
+#define HEDGE_PART 0.018
+#define HEDGE_CAP 40.0
+/*
+ * Multiple of the 95th percentile: with stragglers and slowed servers together more than two in 100
+ * requests are late, and the 98th percentile is then theirs.
+ */
+#define HEDGE_LATEST 1.5
 #define HEDGE_MIN_US (1 * CS_US_PER_MS)
 
 void budget_request(struct cls *c)
@@ -39,7 +44,12 @@
 	 * Five in 100 requests last longer than the 95th percentile and the budget is two: once it
 	 * runs low, hedges wait for the 98th, so that the slowest requests get them.
 	 */
-	us = c->hedge_tokens >= HEDGE_CAP / 2 ? c->p95_us : c->p98_us;
+	us = c->p95_us;
+	if (c->hedge_tokens < HEDGE_CAP / 2) {
+		us = c->p98_us;
+		if (us > c->p95_us * HEDGE_LATEST)
+			us = (uint64_t)(c->p95_us * HEDGE_LATEST);
+	}
 	return us > HEDGE_MIN_US ? us : HEDGE_MIN_US;
 }
 
--- a/lib/policy/eject.c
+++ b/lib/policy/eject.c
@@ -10,7 +10,7 @@
 /* Other workloads slow a server for seconds: a longer ejection would outlast the cause. */
 #define EJECT_US (500 * CS_US_PER_MS)
 /* Under pressure a trial comes earlier, because servers that recovered are missed. */
-#define EJECT_EARLY_US (100 * CS_US_PER_MS)
+#define EJECT_EARLY_US (250 * CS_US_PER_MS)
 #define EJECT_PART 3 /* at most one in this many servers */
 
 /* True if one more target of the service may be ejected. */
