--- a/lib/bus/sock.c
+++ b/lib/bus/sock.c
@@ -7,8 +7,13 @@
 
 #include "bus/bus-int.h"
 
-#define HEARTBEAT_MS 1000
-#define HEARTBEAT_TIMEOUT_MS 4000
+/*
+ * A connection whose data is not acknowledged for this long is closed. ZeroMQ's own heartbeats
+ * would notice the same, but add two messages a second to each connection, and agents already send
+ * heartbeats of their own.
+ */
+#define STALL_MS 4000
+#define KEEPALIVE_S 10
 #define CONNECT_TIMEOUT_MS 1000
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 1000
@@ -45,8 +50,11 @@
 	set_int(s->zmq, ZMQ_LINGER, 0);
 	set_int(s->zmq, ZMQ_SNDHWM, CS_BUS_QUEUE);
 	set_int(s->zmq, ZMQ_RCVHWM, CS_BUS_QUEUE);
-	set_int(s->zmq, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
-	set_int(s->zmq, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+	set_int(s->zmq, ZMQ_TCP_MAXRT, STALL_MS);
+	set_int(s->zmq, ZMQ_TCP_KEEPALIVE, 1);
+	set_int(s->zmq, ZMQ_TCP_KEEPALIVE_IDLE, KEEPALIVE_S);
+	set_int(s->zmq, ZMQ_TCP_KEEPALIVE_INTVL, KEEPALIVE_S);
+	set_int(s->zmq, ZMQ_TCP_KEEPALIVE_CNT, 3);
 	zmq_setsockopt(s->zmq, ZMQ_MAXMSGSIZE, &max, sizeof(max));
 	return s;
 }
--- a/src/agentd/admin.c
+++ b/src/agentd/admin.c
@@ -59,6 +59,7 @@
 	const struct core_stats *cs = core_stats(a->core);
 	const struct cs_bus_stats *bs = cs_bus_stats(a->bus);
 	struct cs_config *cfg = core_current(a->core);
+	uint64_t messages, bytes;
 	char labels[64];
 	int t;
 
@@ -70,6 +71,9 @@
 	set_counter(a, "cassia_bus_received_total", "", "Messages received.", bs->received);
 	set_counter(a, "cassia_bus_received_bytes_total", "", "Payload bytes received.",
 		    bs->received_bytes);
+	mesh_received(a->mesh, &messages, &bytes);
+	set_counter(a, "cassia_peer_received_total", "", "Messages from peers.", messages);
+	set_counter(a, "cassia_peer_received_bytes_total", "", "Payload bytes from peers.", bytes);
 	set_counter(a, "cassia_bus_dropped_total", "", "Messages dropped at sending.", bs->dropped);
 	set_counter(a, "cassia_bus_malformed_total", "", "Malformed messages.", bs->malformed);
 	set_counter(a, "cassia_bus_oversized_total", "", "Oversized messages.", bs->oversized);
--- a/src/agentd/agentd.h
+++ b/src/agentd/agentd.h
@@ -35,6 +35,8 @@
 void mesh_destroy(struct mesh *m);
 void mesh_send(struct mesh *m, const struct core_send *s);
 unsigned mesh_connections(const struct mesh *m);
+/* Messages from peers and their bytes. */
+void mesh_received(const struct mesh *m, uint64_t *messages, uint64_t *bytes);
 
 /* Daemons of this instance. */
 struct local *local_create(struct agent *a, uint16_t port, struct cs_msg *msg);
--- a/src/agentd/core-digest.c
+++ b/src/agentd/core-digest.c
@@ -14,6 +14,7 @@
 #define RELAYED_LIMIT_US (2 * CS_US_PER_S) /* silence of the relay before its rows are asked for */
 #define MARKS_PULL_US (5 * CS_US_PER_S)
 #define PROBE_US CS_US_PER_S
+#define EDGES_US (250 * CS_US_PER_MS) /* between digests on an edge without urgent rows */
 #define ORDER_MAX 256 /* members of a zone */
 #define ZONES_MAX 1024
 
@@ -176,7 +177,10 @@
 	}
 	while (own < n && order[own] != c->self)
 		own++;
-	for (i = own * CORE_ZONE_FANOUT + 1; i <= (own + 1) * CORE_ZONE_FANOUT && i < n; i++)
+	/* The root, which also talks to other zones, sends to one member only. */
+	if (own == 0 && n > 1)
+		core_post_member(c, order[1], m);
+	for (i = own * CORE_ZONE_FANOUT; own > 0 && i < (own + 1) * CORE_ZONE_FANOUT && i < n; i++)
 		core_post_member(c, order[i], m);
 }
 
@@ -246,16 +250,36 @@
 	ask_rows(c, &to, NULL, 0);
 }
 
+/* True if a row's content is to be passed on without waiting for others. */
+static bool urgent_since(struct core *c, uint64_t since)
+{
+	struct zone_row *z;
+
+	for (z = zone_first(c); z != NULL; z = zone_next(z))
+		if (z->urgent && z->changed > since)
+			return true;
+	return false;
+}
+
+static void edges_send(struct core *c, uint64_t now_us)
+{
+	unsigned i;
+
+	c->edges_us = now_us;
+	edges_update(c, now_us);
+	for (i = 0; i < CORE_DIRECT; i++)
+		edge_send(c, &c->edges[i], i == 0, now_us);
+}
+
 void digest_tick(struct core *c, uint64_t now_us)
 {
 	struct member *lead = lead_of(c, now_us);
-	unsigned i;
 
 	row_own_update(c, lead == c->self, now_us);
 	if (lead == c->self) {
-		edges_update(c, now_us);
-		for (i = 0; i < CORE_DIRECT; i++)
-			edge_send(c, &c->edges[i], i == 0, now_us);
+		if (c->digest_now || urgent_since(c, c->edges[0].sent) ||
+		    now_us - c->edges_us >= EDGES_US)
+			edges_send(c, now_us);
 		probe(c, now_us);
 		zone_send(c, now_us);
 		c->relayed_us = now_us;
--- a/src/agentd/core-int.h
+++ b/src/agentd/core-int.h
@@ -11,7 +11,7 @@
 
 struct member {
 	RB_ENTRY(member) entry;
-	TAILQ_ENTRY(member) here_entry;
+	TAILQ_ENTRY(member) zone_entry;
 	char name[CS_NAME_MAX];
 	char zone[CS_NAME_MAX];
 	char addr[CS_ADDR_MAX];
@@ -61,12 +61,20 @@
 	bool out_of_target;
 };
 
+/* Moving means of a load, in requests and us. */
+struct load_mean {
+	uint32_t service;
+	double in_flight, waiting, foreign, service_us;
+};
+
 /* What is known of a zone, as its relay said it. */
 struct zone_row {
 	RB_ENTRY(zone_row) entry;
 	char zone[CS_NAME_MAX];
 	uint32_t key;
+	TAILQ_HEAD(, member) members;
 	unsigned n_members; /* listed */
+	enum cs_member_state phase; /* alive, suspect or unreachable by the row's age */
 	char origin[CS_NAME_MAX];
 	struct cs_wire_stamp stamp; /* incarnation 0: nothing known */
 	uint32_t content, mark;
@@ -125,7 +133,6 @@
 	struct cs_config *cfg;
 	uint64_t cfg_hash;
 	struct member_tree members;
-	TAILQ_HEAD(, member) here; /* members of the own zone */
 	struct server_tree servers;
 	struct zone_tree zones;
 	LIST_HEAD(, list) lists;
@@ -140,18 +147,20 @@
 	uint64_t asked_revision;
 	/* Zone rows and their spreading. */
 	struct zone_row *own; /* of the own zone */
+	struct load_mean *means; /* of the own zone, smoothed */
 	struct row_load *loads; /* of the own zone now; own->loads are as last published */
-	unsigned n_loads;
+	unsigned n_loads, n_means;
 	struct edge edges[CORE_DIRECT];
 	struct edge standby; /* from the second relay to the first */
 	uint64_t row_clock, zone_sent; /* zone_sent: row clock of the last relayed digest */
-	uint64_t published_us, content_us, relayed_us, zone_sent_us, probe_us;
+	uint64_t published_us, content_us, relayed_us, zone_sent_us, probe_us, edges_us;
+	uint64_t loads_shown_us, means_us;
+	bool loads_pending; /* changed, not yet in the view */
 	struct cs_wire_stamp relayed; /* of the last relayed digest taken */
 	char relayed_by[CS_NAME_MAX];
 	unsigned rank; /* of this instance among the members of its zone */
 	bool heartbeat_now; /* something on it changed */
 	bool digest_now;
-	bool loads_dirty;
 	bool leaving, stale;
 	bool store_ok; /* the own calls are answered */
 	bool store_shown; /* here or at another watcher of the zone */
@@ -174,6 +183,10 @@
 struct zone_row *zone_first(struct core *c);
 struct zone_row *zone_next(struct zone_row *z);
 
+/* Members of the own zone, and of any. */
+#define FOREACH_HERE(m, c) TAILQ_FOREACH((m), &(c)->own->members, zone_entry)
+#define FOREACH_OF_ZONE(m, z) TAILQ_FOREACH((m), &(z)->members, zone_entry)
+
 /* Sending. */
 void core_post(struct core *c, const struct core_origin *to, const struct cs_wire_msg *m);
 void core_post_member(struct core *c, const struct member *m, const struct cs_wire_msg *msg);
@@ -182,6 +195,8 @@
 void members_tick(struct core *c, uint64_t now_us);
 /* Recomputes the state of one member. */
 void member_update(struct core *c, struct member *m, uint64_t now_us);
+/* Recomputes the states of a zone's members. */
+void zone_update(struct core *c, struct zone_row *z, uint64_t now_us);
 void members_heartbeat(struct core *c, const struct core_origin *from,
 		       const struct cs_wire_heartbeat *h, uint64_t now_us);
 void members_send_heartbeat(struct core *c, const struct member *to);
@@ -234,5 +249,6 @@
 void view_members_changed(struct core *c);
 void view_servers_changed(struct core *c);
 void view_loads_changed(struct core *c);
+void view_tick(struct core *c, uint64_t now_us);
 
 #endif
--- a/src/agentd/core-lists.c
+++ b/src/agentd/core-lists.c
@@ -119,6 +119,8 @@
 		m->bus_port = e->bus_port;
 		m->admin_port = e->admin_port;
 	}
+	for (z = zone_first(c); z != NULL; z = zone_next(z))
+		zone_update(c, z, now_us);
 	members_tick(c, now_us);
 	view_members_changed(c);
 	c->heartbeat_now = true;
@@ -204,9 +206,9 @@
 	m.u.list_doc.n_entries = n;
 	m.u.list_doc.removed = removed;
 	m.u.list_doc.n_removed = gone;
-	TAILQ_FOREACH(peer, &c->here, here_entry)
-		if (peer != c->self)
-			core_post_member(c, peer, &m);
+	FOREACH_HERE(peer, c)
+	if (peer != c->self)
+		core_post_member(c, peer, &m);
 	free(w);
 	free(removed);
 }
--- a/src/agentd/core-load.c
+++ b/src/agentd/core-load.c
@@ -78,12 +78,62 @@
 		c->loads[i].service = cs_wire_key(cfg->services[i].name);
 		c->loads[i].capacity = capacity_of(c, &cfg->services[i]);
 	}
-	TAILQ_FOREACH(m, &c->here, here_entry)
-		if (m != c->self && member_usable(m))
-			add_loads(c, m->loads, m->n_loads);
+	FOREACH_HERE(m, c)
+	if (m != c->self && member_usable(m))
+		add_loads(c, m->loads, m->n_loads);
 	add_loads(c, c->daemons[CS_LINK_PROXY].loads, c->daemons[CS_LINK_PROXY].n_loads);
 }
 
+static struct load_mean *mean_of(struct core *c, const struct row_load *l)
+{
+	unsigned i;
+
+	for (i = 0; i < c->n_means; i++)
+		if (c->means[i].service == l->service)
+			return &c->means[i];
+	c->means = cs_xrealloc(c->means, c->n_means + 1, sizeof(*c->means));
+	c->means[c->n_means] = (struct load_mean){.service = l->service,
+						  .in_flight = l->in_flight,
+						  .waiting = l->waiting,
+						  .foreign = l->foreign,
+						  .service_us = l->service_us};
+	return &c->means[c->n_means++];
+}
+
+static unsigned mean_step(double *mean, unsigned v, double part)
+{
+	*mean += ((double)v - *mean) * part;
+	/* An idle zone says so at once and not only after the mean has run out. */
+	if (v == 0 && *mean < 1)
+		*mean = 0;
+	return (unsigned)(*mean + 0.5);
+}
+
+/*
+ * Replaces the loads by their moving means. Requests in flight scatter by the square root of their
+ * number from one moment to the next; sent as they are, most rows would change every second.
+ */
+static void loads_smooth(struct core *c, uint64_t now_us)
+{
+	/* The time constant is the time between two changes of the row. */
+	double part = (double)(now_us - c->means_us) / (double)row_interval(c);
+	struct load_mean *mean;
+	struct row_load *l;
+	unsigned i;
+
+	if (part > 1)
+		part = 1;
+	c->means_us = now_us;
+	for (i = 0; i < c->n_loads; i++) {
+		l = &c->loads[i];
+		mean = mean_of(c, l);
+		l->in_flight = mean_step(&mean->in_flight, l->in_flight, part);
+		l->waiting = mean_step(&mean->waiting, l->waiting, part);
+		l->foreign = mean_step(&mean->foreign, l->foreign, part);
+		l->service_us = mean_step(&mean->service_us, l->service_us, part);
+	}
+}
+
 static bool far(unsigned a, unsigned b, unsigned limit)
 {
 	return a > b ? a - b > limit : b - a > limit;
@@ -137,7 +187,8 @@
 	unsigned size = 0;
 
 	*n = 0;
-	TAILQ_FOREACH(m, &c->here, here_entry) {
+	FOREACH_HERE(m, c)
+	{
 		if (!m->listed || (m->state == CS_MEMBER_ALIVE && m->shown_ready))
 			continue;
 		if (*n == size) {
@@ -205,9 +256,9 @@
 	uint64_t lowest = c->cfg ? c->cfg->revision : 0;
 	struct member *m;
 
-	TAILQ_FOREACH(m, &c->here, here_entry)
-		if (m->state == CS_MEMBER_ALIVE && m->revision < lowest)
-			lowest = m->revision;
+	FOREACH_HERE(m, c)
+	if (m->state == CS_MEMBER_ALIVE && m->revision < lowest)
+		lowest = m->revision;
 	return lowest;
 }
 
@@ -235,9 +286,8 @@
 	uint64_t revision;
 	bool urgent, whole;
 
-	if (c->loads_dirty)
-		loads_sum(c);
-	c->loads_dirty = false;
+	loads_sum(c);
+	loads_smooth(c, now_us);
 	change = loads_compare(c);
 	urgent = exceptions_update(c) || change == LOADS_URGENT;
 	revision = lowest_revision(c);
--- a/src/agentd/core-members.c
+++ b/src/agentd/core-members.c
@@ -24,22 +24,30 @@
 	return CS_MEMBER_ALIVE;
 }
 
-/* State of a member of another zone by the row of that zone. */
-static enum cs_member_state state_there(const struct member *m, uint64_t now_us)
+/* What the age of a row says of its zone. */
+static enum cs_member_state phase_of(const struct zone_row *z, uint64_t now_us)
 {
-	const struct zone_row *z = m->row;
-	uint64_t since = z->heard_us != 0 ? z->heard_us : m->heard_us;
-	uint64_t silent = now_us > since ? now_us - since : 0;
+	uint64_t silent = now_us > z->heard_us ? now_us - z->heard_us : 0;
+
+	if (z->heard_us == 0)
+		return CS_MEMBER_SUSPECT;
+	if (silent >= CORE_UNREACHABLE_US)
+		return CS_MEMBER_UNREACHABLE;
+	return silent >= CORE_ZONE_SUSPECT_US ? CS_MEMBER_SUSPECT : CS_MEMBER_ALIVE;
+}
 
+/* State of a member of another zone by the row of that zone. */
+static enum cs_member_state state_there(const struct member *m)
+{
 	if (!m->listed)
 		return CS_MEMBER_DEAD;
-	if (silent >= CORE_UNREACHABLE_US)
+	if (m->row->phase == CS_MEMBER_UNREACHABLE)
 		return CS_MEMBER_UNREACHABLE;
 	if (m->list_leaving)
 		return CS_MEMBER_LEAVING;
-	if (z->heard_us == 0 || silent >= CORE_ZONE_SUSPECT_US)
-		return CS_MEMBER_SUSPECT;
-	return m->excepted ? m->except_state : CS_MEMBER_ALIVE;
+	if (m->row->phase == CS_MEMBER_ALIVE && m->excepted)
+		return m->except_state;
+	return m->row->phase;
 }
 
 /* True if the member is said to take requests. */
@@ -95,9 +103,9 @@
 	struct member *m;
 	unsigned n = 0;
 
-	TAILQ_FOREACH(m, &c->here, here_entry)
-		if (may_relay(m, false))
-			n = rank_insert(out, n, max, m);
+	FOREACH_HERE(m, c)
+	if (may_relay(m, false))
+		n = rank_insert(out, n, max, m);
 	return n;
 }
 
@@ -107,15 +115,15 @@
 	struct member *m;
 	unsigned n = 0;
 
-	if (zone == c->own)
-		return members_order(c, out, max);
-	for (m = member_first(c); m != NULL; m = member_next(m))
-		if (m->row == zone && may_relay(m, false))
-			n = rank_insert(out, n, max, m);
+	FOREACH_OF_ZONE(m, zone)
+	if (may_relay(m, false))
+		n = rank_insert(out, n, max, m);
+	if (n > 0 || zone == c->own)
+		return n;
 	/* A zone that is silent is tried on, so that both sides find each other again. */
-	for (m = n == 0 ? member_first(c) : NULL; m != NULL; m = member_next(m))
-		if (m->row == zone && may_relay(m, true))
-			n = rank_insert(out, n, max, m);
+	FOREACH_OF_ZONE(m, zone)
+	if (may_relay(m, true))
+		n = rank_insert(out, n, max, m);
 	return n;
 }
 
@@ -134,7 +142,7 @@
 
 void member_update(struct core *c, struct member *m, uint64_t now_us)
 {
-	enum cs_member_state st = m->here ? state_here(c, m, now_us) : state_there(m, now_us);
+	enum cs_member_state st = m->here ? state_here(c, m, now_us) : state_there(m);
 	bool ready;
 
 	if (st != m->state && m->here)
@@ -159,19 +167,18 @@
 	bool ok = c->store_ok;
 	struct member *m;
 
-	TAILQ_FOREACH(m, &c->here, here_entry)
-		ok |= m != c->self && m->store_ok && m->state == CS_MEMBER_ALIVE;
+	FOREACH_HERE(m, c)
+	ok |= m != c->self && m->store_ok && m->state == CS_MEMBER_ALIVE;
 	if (ok != c->store_shown)
 		c->view_seq++;
 	c->store_shown = ok;
 }
 
-void members_tick(struct core *c, uint64_t now_us)
+void zone_update(struct core *c, struct zone_row *z, uint64_t now_us)
 {
 	struct member *m, *next;
 
-	for (m = member_first(c); m != NULL; m = next) {
-		next = member_next(m);
+	TAILQ_FOREACH_SAFE(m, &z->members, zone_entry, next) {
 		member_update(c, m, now_us);
 		if (m == c->self || m->state != CS_MEMBER_DEAD)
 			continue;
@@ -180,6 +187,21 @@
 		member_free(c, m);
 		view_members_changed(c);
 	}
+}
+
+void members_tick(struct core *c, uint64_t now_us)
+{
+	enum cs_member_state phase;
+	struct zone_row *z;
+
+	for (z = zone_first(c); z != NULL; z = zone_next(z)) {
+		phase = phase_of(z, now_us);
+		/* Without a new phase, members of other zones change by rows and lists only. */
+		if (z != c->own && phase == z->phase)
+			continue;
+		z->phase = phase;
+		zone_update(c, z, now_us);
+	}
 	c->rank = own_rank(c);
 	store_update(c);
 }
@@ -293,7 +315,6 @@
 	m->store_ok = h->store_ok;
 	m->roster = h->roster;
 	take_loads(m, h);
-	c->loads_dirty = true;
 	c->stale = false;
 	member_update(c, m, now_us);
 	if (c->cfg != NULL && h->revision == c->cfg->revision && h->config_hash != c->cfg_hash)
@@ -322,7 +343,8 @@
 	c->heartbeat_now = false;
 	c->heartbeat_due_us = now_us + CORE_HEARTBEAT_US;
 	heartbeat_fill(c, &m);
-	TAILQ_FOREACH(peer, &c->here, here_entry) {
+	FOREACH_HERE(peer, c)
+	{
 		if (peer == c->self || peer->bus_port == 0)
 			continue;
 		core_post_member(c, peer, &m);
--- a/src/agentd/core-rows.c
+++ b/src/agentd/core-rows.c
@@ -117,14 +117,13 @@
 }
 
 /* Marks the members of the zone that the row excepts. */
-static void apply_exceptions(struct core *c, const struct zone_row *z)
+static void apply_exceptions(struct core *c, struct zone_row *z, uint64_t now_us)
 {
 	struct member *m;
 	unsigned i;
 
-	for (m = member_first(c); m != NULL; m = member_next(m))
-		if (m->row == z)
-			m->excepted = false;
+	FOREACH_OF_ZONE(m, z)
+	m->excepted = false;
 	for (i = 0; i < z->n_exceptions; i++) {
 		m = member_find(c, z->exceptions[i].instance);
 		if (m == NULL || m->row != z)
@@ -133,9 +132,11 @@
 		m->except_state = z->exceptions[i].state;
 		m->except_ready = z->exceptions[i].ready;
 	}
+	zone_update(c, z, now_us);
 }
 
-static void take_content(struct core *c, struct zone_row *z, const struct cs_wire_zone *w)
+static void take_content(struct core *c, struct zone_row *z, const struct cs_wire_zone *w,
+			 uint64_t now_us)
 {
 	unsigned i;
 
@@ -162,7 +163,7 @@
 	z->content = w->content;
 	z->urgent = w->urgent;
 	z->changed = ++c->row_clock;
-	apply_exceptions(c, z);
+	apply_exceptions(c, z, now_us);
 	view_loads_changed(c);
 }
 
@@ -216,7 +217,7 @@
 	z->revision = w->revision;
 	row_heard(z, w->age_ms, now_us);
 	if (z->changed == 0 || content != w->content)
-		take_content(c, z, w);
+		take_content(c, z, w, now_us);
 	z->mark = row_mark(z);
 	z->touched = ++c->row_clock;
 	return true;
--- a/src/agentd/core-view.c
+++ b/src/agentd/core-view.c
@@ -16,6 +16,16 @@
 
 void view_loads_changed(struct core *c)
 {
+	c->loads_pending = true;
+}
+
+/* With many zones some load changes all the time; the daemons get them together. */
+void view_tick(struct core *c, uint64_t now_us)
+{
+	if (!c->loads_pending || now_us - c->loads_shown_us < row_interval(c) / 2)
+		return;
+	c->loads_pending = false;
+	c->loads_shown_us = now_us;
 	c->loads_seq = ++c->view_seq;
 }
 
@@ -81,12 +91,12 @@
 }
 
 /* Name of a service by its key, or NULL if the configuration has none. */
-static const char *service_name(const struct core *c, uint32_t key)
+static const char *service_name(const struct core *c, const uint32_t *keys, uint32_t key)
 {
 	unsigned i;
 
 	for (i = 0; c->cfg != NULL && i < c->cfg->n_services; i++)
-		if (cs_wire_key(c->cfg->services[i].name) == key)
+		if (keys[i] == key)
 			return c->cfg->services[i].name;
 	return NULL;
 }
@@ -98,14 +108,17 @@
 	struct zone_row *z;
 	const char *name;
 	unsigned i, n = 0;
+	uint32_t *keys = cs_xcalloc(c->cfg ? c->cfg->n_services : 0, sizeof(*keys));
 
+	for (i = 0; c->cfg != NULL && i < c->cfg->n_services; i++)
+		keys[i] = cs_wire_key(c->cfg->services[i].name);
 	for (z = zone_first(c); z != NULL; z = zone_next(z))
 		n += z->n_loads;
 	v->loads = cs_xcalloc(n, sizeof(*v->loads));
 	for (z = zone_first(c); z != NULL; z = zone_next(z)) {
 		for (i = 0; i < z->n_loads; i++) {
 			l = &z->loads[i];
-			name = service_name(c, l->service);
+			name = service_name(c, keys, l->service);
 			if (name == NULL)
 				continue;
 			out = &v->loads[v->n_loads++];
@@ -121,6 +134,7 @@
 			out->age_us = since(z->heard_us, now_us);
 		}
 	}
+	free(keys);
 }
 
 struct cs_view *core_view(struct core *c, uint64_t now_us)
--- a/src/agentd/core.c
+++ b/src/agentd/core.c
@@ -41,7 +41,6 @@
 	c->opts.peers = c->peers;
 	cs_rng_seed(&c->rng, opts->seed);
 	RB_INIT(&c->members);
-	TAILQ_INIT(&c->here);
 	RB_INIT(&c->servers);
 	RB_INIT(&c->zones);
 	LIST_INIT(&c->lists);
@@ -77,6 +76,7 @@
 		list_free(l);
 	}
 	free(c->loads);
+	free(c->means);
 	free(c->daemons[0].loads);
 	free(c->daemons[1].loads);
 	cs_config_unref(c->cfg);
@@ -107,16 +107,14 @@
 	m->state = CS_MEMBER_SUSPECT;
 	m->heard_us = now_us;
 	RB_INSERT(member_tree, &c->members, m);
-	if (m->here)
-		TAILQ_INSERT_TAIL(&c->here, m, here_entry);
+	TAILQ_INSERT_TAIL(&m->row->members, m, zone_entry);
 	return m;
 }
 
 void member_free(struct core *c, struct member *m)
 {
 	RB_REMOVE(member_tree, &c->members, m);
-	if (m->here)
-		TAILQ_REMOVE(&c->here, m, here_entry);
+	TAILQ_REMOVE(&m->row->members, m, zone_entry);
 	free(m->loads);
 	free(m);
 }
@@ -187,6 +185,8 @@
 	z = cs_xcalloc(1, sizeof(*z));
 	cs_copy(z->zone, sizeof(z->zone), zone);
 	z->key = search.key;
+	z->phase = CS_MEMBER_SUSPECT;
+	TAILQ_INIT(&z->members);
 	RB_INSERT(zone_tree, &c->zones, z);
 	return z;
 }
@@ -337,7 +337,6 @@
 	d->loads = cs_xcalloc(d->n_loads, sizeof(*d->loads));
 	if (d->n_loads > 0)
 		memcpy(d->loads, r->body.loads, d->n_loads * sizeof(*d->loads));
-	c->loads_dirty = true;
 	self_update(c, now_us);
 	return true;
 }
@@ -361,6 +360,7 @@
 	if (c->heartbeat_now || now_us >= c->heartbeat_due_us)
 		members_send_heartbeats(c, now_us);
 	digest_tick(c, now_us);
+	view_tick(c, now_us);
 }
 
 void core_resume(struct core *c, uint64_t now_us)
@@ -369,9 +369,9 @@
 	struct member *m;
 
 	c->stale = true;
-	TAILQ_FOREACH(m, &c->here, here_entry)
-		if (m->state <= CS_MEMBER_SUSPECT)
-			m->heard_us = now_us;
+	FOREACH_HERE(m, c)
+	if (m->state <= CS_MEMBER_SUSPECT)
+		m->heard_us = now_us;
 	for (z = zone_first(c); z != NULL; z = zone_next(z))
 		if (z->heard_us != 0)
 			z->heard_us = now_us;
--- a/src/agentd/core.h
+++ b/src/agentd/core.h
@@ -26,7 +26,7 @@
 	(1500 * CS_US_PER_MS) /* silence of the first relay before the second acts */
 #define CORE_EDGES 4 /* zones that a relay sends to; all others are reached through them */
 #define CORE_DIRECT 5 /* up to this many other zones, it sends to all of them */
-#define CORE_ZONE_FANOUT 4 /* members that one member passes relayed digests on to */
+#define CORE_ZONE_FANOUT 2 /* members that one member passes relayed digests on to */
 #define CORE_RELAYS 2 /* relays and watchers of a zone */
 
 /* Where a message came from: a peer of the listener, or the far end of an own connection. */
--- a/src/agentd/local.c
+++ b/src/agentd/local.c
@@ -4,7 +4,7 @@
 
 #include "agentd.h"
 
-#define PUSH_US (50 * CS_US_PER_MS) /* shortest time between two snapshots */
+#define PUSH_US (100 * CS_US_PER_MS) /* shortest time between two snapshots */
 #define RESEND_US (400 * CS_US_PER_MS) /* a snapshot not held by then is sent again */
 #define ALIVE_US CS_US_PER_S
 
--- a/src/agentd/mesh.c
+++ b/src/agentd/mesh.c
@@ -24,6 +24,7 @@
 	struct peer_tree peers;
 	struct cs_timer sweep;
 	unsigned n;
+	uint64_t received, received_bytes;
 };
 
 static int peer_cmp(struct peer *a, struct peer *b);
@@ -84,6 +85,12 @@
 	return m->n;
 }
 
+void mesh_received(const struct mesh *m, uint64_t *messages, uint64_t *bytes)
+{
+	*messages = m->received;
+	*bytes = m->received_bytes;
+}
+
 static void on_sweep(struct cs_timer *t, void *arg)
 {
 	uint64_t now = cs_mono_us();
@@ -102,6 +109,8 @@
 	struct cs_wire_msg *msg;
 	struct cs_msg err;
 
+	m->received++;
+	m->received_bytes += len;
 	msg = cs_wire_parse(data, len, &err);
 	if (msg == NULL) {
 		cs_bus_stats(a->bus)->malformed++;
