Tell joined repeats the truth at their deadline; stop the timer of a wait at the decision

Cause: review. A repeat that joined a running request and met its own deadline was told that nothing ran. The timer of a wait went on after the request was sent and could ask for a hedge; the policy refused it for non-idempotent classes, so that nothing ran twice.

Change: a joined request counts as unknown, the timer stops, and only idempotent requests ask for a hedge. proxy-once failed one check before and passes now; queued requests are checked for double runs.

--- a/src/proxyd/request.c
+++ b/src/proxyd/request.c
@@ -113,6 +113,9 @@
 
 	if (req->winner != NULL)
 		return RAN_YES;
+	/* The request that it joined may have run. */
+	if (req->stage == STAGE_JOINED)
+		return RAN_UNKNOWN;
 	TAILQ_FOREACH(att, &req->attempts, entry)
 		if (att->state != ATTEMPT_NOT_SENT && att->state != ATTEMPT_REFUSED &&
 		    ran == RAN_NO)
@@ -238,6 +241,8 @@
 	uint64_t now = cs_mono_us();
 	struct cs_decision d;
 
+	/* The end of an earlier wait must not start a hedge. */
+	cs_timer_stop(&req->aux);
 	cs_policy_decide(p->policy, &req->ask, now, &d);
 	switch (d.verdict) {
 	case CS_VERDICT_SEND:
@@ -483,9 +488,12 @@
 static void hedge(struct request *req)
 {
 	struct proxyd *p = req->proxyd;
-	struct cs_target *t = cs_policy_take_hedge(p->policy, &req->ask, cs_mono_us());
+	struct cs_target *t;
 	struct attempt *att;
 
+	if (!req->idempotent || req->streaming)
+		return;
+	t = cs_policy_take_hedge(p->policy, &req->ask, cs_mono_us());
 	if (t == NULL)
 		return;
 	take_target(req, t);
--- a/tests/run/check.d/proxy-once.sh
+++ b/tests/run/check.d/proxy-once.sh
@@ -38,6 +38,14 @@
 ok "a repeat while the first runs joins it" [ "$(cat "$dir"/join.? | grep -c '^slow')" = 2 ]
 ok "a joined repeat does not run" [ "$(runs join)" = 1 ]
 
+call bookings /slow/600 -d x -H 'X-Request-Id: join2' >/dev/null &
+j1=$!
+sleep 0.2
+a=$(call bookings /slow/600 -d x -H 'X-Request-Id: join2' -H 'X-Cassia-Deadline-Ms: 100')
+wait $j1
+ok "a joined repeat past its deadline: unknown" has "$a" '^HTTP/1.1 504'
+ok "a joined repeat past its deadline does not claim that nothing ran" has "$a" '"ran":"unknown"'
+
 curl -sS -m 0.3 -H 'X-Cassia-Class: bookings' -H 'X-Request-Id: left' -d x "$url/slow/800" >/dev/null 2>&1
 a=$(call bookings /slow/800 -d x -H 'X-Request-Id: left')
 ok "after the caller left: unknown" has "$a" '"ran":"unknown"'
@@ -53,4 +61,19 @@
 sleep 1.2
 a=$(call bookings /refuse -d x -H 'X-Request-Id: refused')
 ok "a refused id can be used again" has "$a" '"ran":"no"'
+
+# Requests that wait for a slot and then run longer than they could have waited.
+write_view 2 z1 2
+sleep 0.5
+jobs=""
+for i in $(seq 16); do
+	call bookings /slow/700 -d x -H "X-Request-Id: queue$i" >"$dir/queue.$i" &
+	jobs="$jobs $!"
+done
+# shellcheck disable=SC2086
+wait $jobs
+a=$(cat "$dir"/queue.*)
+ok "queued requests: some run" [ "$(grep -c '^slow' <<<"$a")" -ge 2 ]
+ok "queued requests: none runs twice" [ -z "$(grep -h 'run queue' "$dir"/runs.* | sort | uniq -d)" ]
+ok "queued requests: as many runs as answers" [ "$(grep -h 'run queue' "$dir"/runs.* | wc -l)" = "$(grep -c '^slow' <<<"$a")" ]
 finish
