Ask one instance of each zone at a time in cassiactl locate

Cause: instances were asked one after the other, so that a zone that is cut off cost a second for each of its instances. Check: ctl-deployment.sh passes.

--- a/src/ctl/cmd-locate.c
+++ b/src/ctl/cmd-locate.c
@@ -4,6 +4,9 @@
 
 #include "src/ctl/fleet.h"
 
+/* Instances of each zone that are asked, one after the other, until one answers. */
+#define ROUNDS 3
+
 static char *opt_from;
 
 static const GOptionEntry options[] = {
@@ -56,28 +59,55 @@
 	json_decref(doc);
 }
 
-/* Asks one instance; -1 if it gave no answer. */
-static int ask(struct ctl *ctl, const struct ctl_instance *in, const char *path)
+/* Prints one answer; -1 if it is none. */
+static int take_answer(struct ctl *ctl, const struct ctl_fetch *f)
 {
-	struct ctl_fetch *f = cs_xcalloc(1, sizeof(*f));
-	int rc = -1;
 	json_t *doc;
+	int rc;
 
-	f->url = ctl_url(in, in->lookup_port, path);
-	ctl_fetch_all(ctl, f, 1);
-	if (f->status == 200) {
-		doc = json_loads(f->body, 0, NULL);
-		rc = json_array_size(json_object_get(doc, "entries")) > 0 ? CTL_OK : CTL_FAILURE;
-		if (ctl->json)
-			ctl_print_json(json_incref(doc));
-		else
-			print_answer(doc);
-		json_decref(doc);
-	} else if (f->status == 400 || f->status == 404) {
+	if (f->status == 400 || f->status == 404) {
 		print_refusal(ctl, f);
-		rc = CTL_FAILURE;
+		return CTL_FAILURE;
 	}
-	ctl_fetch_free(f, 1);
+	if (f->status != 200)
+		return -1;
+	doc = json_loads(f->body, 0, NULL);
+	rc = json_array_size(json_object_get(doc, "entries")) > 0 ? CTL_OK : CTL_FAILURE;
+	if (ctl->json)
+		ctl_print_json(json_incref(doc));
+	else
+		print_answer(doc);
+	json_decref(doc);
+	return rc;
+}
+
+/* True for the instances of a round: the round-th of each zone, or the one that --from names. */
+static bool in_round(const struct ctl_fleet *fleet, unsigned i, unsigned round)
+{
+	unsigned before = 0;
+
+	if (opt_from != NULL)
+		return round == 0 && strcmp(opt_from, fleet->list[i].name) == 0;
+	while (before < i && strcmp(fleet->list[i - before - 1].zone, fleet->list[i].zone) == 0)
+		before++;
+	return before == round;
+}
+
+/* Asks the instances of a round at the same time; -1 if none answers. */
+static int ask(struct ctl *ctl, const struct ctl_fleet *fleet, unsigned round, const char *path)
+{
+	struct ctl_fetch *f = cs_xcalloc(fleet->n, sizeof(*f));
+	unsigned i, n = 0;
+	int rc = -1;
+
+	for (i = 0; i < fleet->n; i++) {
+		if (in_round(fleet, i, round))
+			f[n++].url = ctl_url(&fleet->list[i], fleet->list[i].lookup_port, path);
+	}
+	ctl_fetch_all(ctl, f, n);
+	for (i = 0; i < n && rc < 0; i++)
+		rc = take_answer(ctl, &f[i]);
+	ctl_fetch_free(f, n);
 	return rc;
 }
 
@@ -88,13 +118,11 @@
 	char *path = cs_xasprintf("/v1/locate?class=%s&addr=%s", class, addr);
 	struct ctl_fleet fleet;
 	int rc, answer = -1;
-	unsigned i;
+	unsigned round;
 
 	rc = ctl_fleet_load(ctl, 0, &fleet);
-	for (i = 0; rc == CTL_OK && answer < 0 && i < fleet.n; i++) {
-		if (opt_from == NULL || strcmp(opt_from, fleet.list[i].name) == 0)
-			answer = ask(ctl, &fleet.list[i], path);
-	}
+	for (round = 0; rc == CTL_OK && answer < 0 && round < ROUNDS; round++)
+		answer = ask(ctl, &fleet, round, path);
 	if (rc == CTL_OK && answer < 0) {
 		ctl_error(ctl, "no lookup daemon answers%s%s", opt_from ? " at " : "",
 			  opt_from ? opt_from : "");
