Cut texts of changes between characters

Cause: a text cut in the middle of a character is no UTF-8; its record would be missing in the document, and a lost answer could not be resolved.

--- a/src/ctl/change.c
+++ b/src/ctl/change.c
@@ -158,6 +158,23 @@
 	return rc;
 }
 
+/*
+ * Makes the text fit for the document: cut at the first byte that is not UTF-8, as after a cut in
+ * the middle of a character, and without control characters.
+ */
+static void clean_text(char *text)
+{
+	const char *end;
+	char *p;
+
+	if (!g_utf8_validate(text, -1, &end))
+		text[end - text] = '\0';
+	for (p = text; *p != '\0'; p++) {
+		if ((unsigned char)*p < ' ' || *p == 0x7f)
+			*p = ' ';
+	}
+}
+
 /* Adds the change's record, the oldest ones go. */
 static void add_record(struct ctl *ctl, json_t *doc, const struct attempt *a, const char *text)
 {
@@ -216,6 +233,7 @@
 	}
 	if (base == 0)
 		a->revision = first_revision(doc);
+	clean_text(change->text);
 	add_record(ctl, doc, a, change->text);
 	text = json_dumps(doc, JSON_COMPACT | JSON_REAL_PRECISION(15));
 	cfg = cs_config_parse(text, strlen(text), &why);
--- a/tests/run/check.d/ctl-write.sh
+++ b/tests/run/check.d/ctl-write.sh
@@ -10,7 +10,7 @@
 deploy_trap
 deploy_store
 deploy_config | jq '.changes = []' >"$RUNDIR/config.json"
-export CASSIA_STORE=consul:http://127.$RUN.0.1:$STORE_PORT CASSIA_BY=anna
+export LC_ALL=C.UTF-8 CASSIA_STORE=consul:http://127.$RUN.0.1:$STORE_PORT CASSIA_BY=anna
 ctl=$DEPLOY_BIN/cassiactl
 
 # expect CODE TEXT COMMAND...: runs cassiactl, checks the exit code and that the output has the text.
@@ -49,10 +49,17 @@
 expect 0 "no difference" class set status latency_target_ms=250
 [ "$(revision)" = 2 ] || die "a rejected or empty change was written"
 
+# A long text is cut between characters; a broken record would hide the change id.
+long=$(printf 'x%.0s' 1; printf 'é%.0s' $(seq 100))
+"$ctl" show | jq '.classes[0].priority = 8' >"$RUNDIR/text.json"
+expect 0 "accepted at revision 3" apply "$RUNDIR/text.json" --text "$long"
+[ "$("$ctl" history --json | jq -r '.[0].text')" = "${long:0:80}" ] || die "the history lacks the text: $("$ctl" history)"
+expect 0 "accepted at revision 4" class set status priority=2
+
 # An older file is a conflict that shows what came between.
 jq '.classes[0].priority = 4' "$RUNDIR/config.json" >"$RUNDIR/old.json"
 expect 4 "by anna at .*class status: latency_target_ms=250" apply "$RUNDIR/old.json"
-[ "$(revision)" = 2 ] || die "a conflicting change was written"
+[ "$(revision)" = 4 ] || die "a conflicting change was written"
 
 # race CLASS KEY DELAY: five operators at once. The store answers slowly, so that all read the same
 # revision when they start within twice the delay.
@@ -74,19 +81,19 @@
 [ "$(printf '%s\n' "${codes[@]}" | sort | uniq -c | xargs)" = "1 0 4 4" ] ||
 	die "five operators on one class: exit codes ${codes[*]}, expected one 0 and four 4"
 grep -l "by op.*class status: priority" "$RUNDIR"/race? >/dev/null || die "the conflict does not show the other change"
-[ "$(revision)" = 3 ] || die "five operators on one class: revision $(revision), expected 3"
+[ "$(revision)" = 5 ] || die "five operators on one class: revision $(revision), expected 5"
 
 jq '.classes = [range(1; 6) as $i | .classes[0] | .name = "class\($i)" | .priority = 1] + .classes' <("$ctl" show) >"$RUNDIR/five.json"
-expect 0 "accepted at revision 4" apply "$RUNDIR/five.json"
+expect 0 "accepted at revision 6" apply "$RUNDIR/five.json"
 race classN priority 200
 [ "${codes[*]}" = "0 0 0 0 0" ] || die "five operators on five classes: exit codes ${codes[*]}, expected all 0"
-[ "$(revision)" = 9 ] || die "five operators on five classes: revision $(revision), expected 9"
+[ "$(revision)" = 11 ] || die "five operators on five classes: revision $(revision), expected 11"
 [ "$("$ctl" show --json | jq -c '[.classes[] | select(.name | startswith("class")) | .priority]')" = "[4,5,6,7,8]" ] ||
 	die "five operators on five classes: a change was lost"
 
 # A lost answer is resolved by the change id, also when the store stays away for a while.
 store_control 'set?lose=1' >/dev/null
-expect 0 "accepted at revision 10" class set status priority=0
+expect 0 "accepted at revision 12" class set status priority=0
 store_control 'set?delay_ms=500&lose=1' >/dev/null
 "$ctl" --json --timeout-ms 1500 class set status priority=1 >"$RUNDIR/unknown" 2>&1 &
 writer=$!
@@ -100,9 +107,9 @@
 expect 6 "store is unavailable" settle "$change"
 expect 6 "nothing was written" class set status priority=9
 store_control 'set?outage=none&delay_ms=0&lose=0' >/dev/null
-expect 0 "took effect at revision 11" settle "$change"
-expect 3 "cannot any more" settle c-10-0000000000000000
-expect 5 "not taken effect so far" settle c-11-0000000000000000
+expect 0 "took effect at revision 13" settle "$change"
+expect 3 "cannot any more" settle c-12-0000000000000000
+expect 5 "not taken effect so far" settle c-13-0000000000000000
 
 # A store that takes calls and gives no answer: reading ends after the time that was asked for.
 store_control 'set?outage=hang' >/dev/null
@@ -115,12 +122,12 @@
 expect 3 "time is short by" drain start north-a --deadline +5s
 expect 3 "did you mean north-a?" drain start north-b --deadline +1h
 expect 2 "deadline: \"soon\"" drain start north-a --deadline soon
-expect 0 "accepted at revision 12" drain start north-a --deadline +1h
+expect 0 "accepted at revision 14" drain start north-a --deadline +1h
 expect 3 "already drained" drain start north-a --deadline +2h
-expect 0 "accepted at revision 13" drain start north-a --deadline +2h --replace
+expect 0 "accepted at revision 15" drain start north-a --deadline +2h --replace
 expect 3 "zones are short by 1" drain start south-a --deadline +1h
 expect 0 "north-a" drain status
-expect 0 "accepted at revision 14" drain cancel north-a
+expect 0 "accepted at revision 16" drain cancel north-a
 expect 3 "is not drained" drain cancel north-a
 
 # A drain races with a change of a class and with another drain of the same zone.
@@ -140,5 +147,5 @@
 [ "$(printf '%s\n' "${codes[1]}" "${codes[3]}" | sort | xargs)" = "0 4" ] ||
 	die "two drains of one zone: exit codes ${codes[1]} ${codes[3]}, expected 0 and 4: $(cat "$RUNDIR/race1" "$RUNDIR/race3")"
 [ "$("$ctl" show --json | jq '.drains | length')" = 1 ] || die "two drains of one zone were written"
-[ "$("$ctl" history --json | jq length)" = 16 ] || die "the history has not every change once"
+[ "$("$ctl" history --json | jq length)" = 18 ] || die "the history has not every change once"
 echo "ok"
