--- a/tests/run/deploy.sh
+++ b/tests/run/deploy.sh
@@ -62,7 +62,7 @@
 		;;
 	prove) # three zones in two regions; short timeouts, so that a drain fits into a minute
 		ZONES=(a1:ra a2:ra b1:rb)
-		ZONE_MS=1 REGION_MS=5 CALLER_MS=1 PER_ZONE=2 CAP_PCT_S=25 LOOKUP_TTL_MS=1000
+		ZONE_MS=1 REGION_MS=5 CALLER_MS=1 PER_ZONE=2 CAP_PCT_S=12 LOOKUP_TTL_MS=1000
 		SERVICES=(orders:9:8:200 files:3:6:200)
 		CLASSES=$(sed 's/"timeout_ms":2000/"timeout_ms":1500/; s/"timeout_ms":4000/"timeout_ms":3000/' <<<"$SMALL_CLASSES")
 		;;
--- a/tests/run/prove.sh
+++ b/tests/run/prove.sh
@@ -12,7 +12,7 @@
 MIN_OPERATIONS=20000
 MIN_FAULTS=15
 SETTLE_US=3000000 # after a fault, until its consequences have passed
-SERVER_BEHAVIOUR='{"service_ms":10,"jitter_pct":50,"straggler_pct":0.5,"straggler_factor":20}'
+SERVER_BEHAVIOUR='{"service_ms":35,"jitter_pct":50,"straggler_pct":0.5,"straggler_factor":20}'
 declare -A BEGUN=()
 faults=0
 
@@ -148,6 +148,7 @@
 	store-hang) store_control 'set?outage=hang' >/dev/null ;;
 	store-slow) store_control 'set?delay_ms=700' >/dev/null ;;
 	store-lose) store_control 'set?lose=2' >/dev/null ;;
+	store-stale) store_control 'set?stale=1' >/dev/null ;;
 	reports-missing) servers_control 'set?report=3' >/dev/null ;;
 	reports-false) servers_control 'set?report=2&report_in_flight=0&report_service_ms=1' >/dev/null ;;
 	server-slow) server_set "$target" 'slow_factor=10' ;;
@@ -178,6 +179,7 @@
 	store-refuse | store-hang) store_control 'set?outage=none' >/dev/null ;;
 	store-slow) store_control 'set?delay_ms=0' >/dev/null ;;
 	store-lose) store_control 'set?lose=0' >/dev/null ;;
+	store-stale) store_control 'set?stale=0' >/dev/null ;;
 	reports-*) servers_control 'set?report=0' >/dev/null ;;
 	server-slow) server_set "$target" 'slow_factor=1' ;;
 	server-down) server_set "$target" 'down=0' ;;
@@ -223,7 +225,7 @@
 done <<<"$schedule"
 load_wait prove || die "cassia-load failed: $(tail -1 "$RUNDIR/load-prove.log")"
 
-store_control 'set?outage=none&delay_ms=0' >/dev/null
+store_control 'set?outage=none&delay_ms=0&stale=0' >/dev/null
 curl -sf -m 3 "http://127.$RUN.0.1:$STORE_PORT/v1/kv/cassia/config" | jq -r '.[0].Value' | base64 -d |
 	jq -c '.changes[] | {fact:"final",name:.id}' >>"$facts"
 for name in standin-probe standin-servers; do
--- a/tests/standins/planner/main.c
+++ b/tests/standins/planner/main.c
@@ -42,6 +42,7 @@
 	{"store-hang", T_STORE, 1500, 3000, "config"},
 	{"store-slow", T_STORE, 2000, 4000, "config"},
 	{"store-lose", T_STORE, 1000, 2000, "-"},
+	{"store-stale", T_STORE, 1500, 3000, "config"},
 	{"reports-missing", T_REPORTS, 2000, 5000, "-"},
 	{"reports-false", T_REPORTS, 2000, 5000, "-"},
 	{"server-slow", T_SERVER, 2000, 4000, "cap"},
--- a/tests/standins/store/control.c
+++ b/tests/standins/store/control.c
@@ -1,6 +1,6 @@
 /*
  * Controls, on their own port so that they work during an outage:
- *   GET /standin/set?delay_ms=N&lag_ms=N&lose=N&outage=none|refuse|hang   any subset
+ *   GET /standin/set?delay_ms=N&lag_ms=N&lose=N&stale=0|1&outage=none|refuse|hang   any subset
  *   GET /standin/lapse?session=ID|NAME|all
  *   GET /standin/calls    totals and the last seconds by kind
  */
@@ -107,6 +107,8 @@
 		set_number(req, "delay_ms", &faults.delay_ms);
 		set_number(req, "lag_ms", &faults.lag_ms);
 		set_number(req, "lose", &faults.lose);
+		set_number(req, "stale", &faults.stale);
+		watchers_wake("/v1/kv/");
 		ok = set_outage(req);
 	} else if (strcmp(path, "/standin/lapse") == 0) {
 		session = cs_http_arg(req, "session");
--- a/tests/standins/store/kv.c
+++ b/tests/standins/store/kv.c
@@ -13,6 +13,9 @@
 	uint64_t flags;
 	uint64_t created; /* 0: deleted; the row keeps its index for watches */
 	uint64_t modified;
+	char *old_value; /* before the last write; NULL: none */
+	size_t old_len;
+	uint64_t old_modified;
 	char session[64];
 };
 RB_HEAD(kv_tree, kv);
@@ -37,7 +40,8 @@
 static void kv_get(struct call *c, const char *key)
 {
 	struct kv *k = kv_find(key);
-	uint64_t index = k ? k->modified : 1;
+	bool stale = faults.stale > 0 && k != NULL && k->old_value != NULL;
+	uint64_t index = k ? (stale ? k->old_modified : k->modified) : 1;
 	json_t *row;
 	char *text;
 
@@ -49,10 +53,11 @@
 		call_reply(c, 404, "", index);
 		return;
 	}
-	text = g_base64_encode((const guchar *)k->value, k->len);
+	text = g_base64_encode((const guchar *)(stale ? k->old_value : k->value),
+			       stale ? k->old_len : k->len);
 	row = json_pack("{s:i,s:s,s:I,s:s,s:I,s:I}", "LockIndex", 0, "Key", k->key, "Flags",
 			(json_int_t)k->flags, "Value", text, "CreateIndex", (json_int_t)k->created,
-			"ModifyIndex", (json_int_t)k->modified);
+			"ModifyIndex", (json_int_t)index);
 	if (*k->session != '\0')
 		json_object_set_new(row, "Session", json_string(k->session));
 	g_free(text);
@@ -109,7 +114,10 @@
 		k->key = cs_xstrdup(key);
 		RB_INSERT(kv_tree, &keys, k);
 	}
-	free(k->value);
+	free(k->old_value);
+	k->old_value = k->value;
+	k->old_len = k->len;
+	k->old_modified = k->modified;
 	k->value = c->body ? c->body : cs_xstrdup("");
 	k->len = c->len;
 	c->body = NULL;
--- a/tests/standins/store/store.h
+++ b/tests/standins/store/store.h
@@ -45,6 +45,7 @@
 	unsigned delay_ms; /* before each call is handled */
 	unsigned lag_ms; /* until a registration shows in lists */
 	unsigned lose; /* writes whose answer is still to be lost */
+	unsigned stale; /* 1: reads of a key give its value before the last write */
 	enum outage outage;
 };
 
