Move lookups of a drained zone in even steps for each caller

The proxies could not forward during their ramp (the only near zone was cut off), so the second ramp, that of the lookups, moved the work; it picked by the caller's address alone, and 3 callers move in thirds. Ruled out: the ramp itself, which is the same in every daemon, and stale configurations (revision 6 was in force everywhere within 0.3 s). A lookup's position now goes on by the golden ratio with each lookup. test_drain_one_caller fails without it and passes with it (2 % bound on 200 lookups).

--- a/lib/policy/plan.c
+++ b/lib/policy/plan.c
@@ -2,6 +2,7 @@
  * Steering plan: for each service and caller zone the zones that take its callers, nearest first
  * under capacity less headroom. It is worked out once for a view, so that a lookup only hashes.
  */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -370,20 +371,33 @@
 	add(out, pair[1] != NULL ? pair[turn & 1] : pair[0], reason);
 }
 
-/* True if the caller is still to be sent to a zone, by its drains. */
-static bool stays(const struct cs_plan *plan, unsigned zone, uint64_t h, int64_t wall_ms)
+/*
+ * Position of a lookup in [0, 1) that drains compare with the part that stays. It starts by the
+ * caller and moves on by the golden ratio with each lookup, which spreads any run of lookups
+ * evenly. By the caller alone, few callers moved at once and a ramp went over its cap.
+ */
+static double drain_position(uint64_t h, uint64_t turn)
+{
+	double x = unit(cs_hash(&h, sizeof(h), 0xd7a1)) +
+		   (double)(turn & 0xfffff) * 0.6180339887498949;
+
+	return x - floor(x);
+}
+
+/* True if a lookup at this position is still to be sent to a zone, by its drains. */
+static bool stays(const struct cs_plan *plan, unsigned zone, double position, int64_t wall_ms)
 {
 	double left;
 
 	if (plan->cfg->n_drains == 0)
 		return true;
 	left = cs_shift_entry(plan->cfg, zone, wall_ms + plan->cfg->shift.lookup_ttl_ms);
-	return left >= 1 || unit(cs_hash(&h, sizeof(h), 0xd7a1)) < left;
+	return left >= 1 || position < left;
 }
 
 /* First zone of a caller: its part of the plan, unless a drain moves it to the next one. */
 static unsigned first_zone(const struct cs_plan *plan, unsigned service, unsigned from, uint64_t h,
-			   int64_t wall_ms, const char **reason)
+			   double position, int64_t wall_ms, const char **reason)
 {
 	unsigned n = plan->cfg->n_zones, i, row = service * n + from, zone = from;
 	double u = unit(h);
@@ -394,12 +408,12 @@
 			break;
 	}
 	*reason = zone == from ? "nearest zone" : "nearest zone with room";
-	if (members_in(plan, zone) > 0 && stays(plan, zone, h, wall_ms))
+	if (members_in(plan, zone) > 0 && stays(plan, zone, position, wall_ms))
 		return zone;
 	for (i = 0; i < n; i++) {
 		unsigned to = plan->near[from * n + i];
 
-		if (to == zone || members_in(plan, to) == 0 || !stays(plan, to, h, wall_ms))
+		if (to == zone || members_in(plan, to) == 0 || !stays(plan, to, position, wall_ms))
 			continue;
 		*reason = "zone is drained";
 		return to;
@@ -413,6 +427,7 @@
 	const struct cs_config *cfg = plan->cfg;
 	unsigned n = cfg->n_zones, i, zone, from, service;
 	uint64_t h = cs_hash(addr, 16, 0x10ca7e);
+	double position = drain_position(h, turn);
 	const char *reason;
 	int at;
 
@@ -422,12 +437,12 @@
 	service = cfg->classes[class_index].service;
 	at = cs_config_locate(cfg, addr);
 	from = at >= 0 ? (unsigned)at : (unsigned)(cs_hash(&h, sizeof(h), 1) % n);
-	zone = first_zone(plan, service, from, h, wall_ms, &reason);
+	zone = first_zone(plan, service, from, h, position, wall_ms, &reason);
 	add_member(plan, zone, h, turn, out, reason);
 	for (i = 0; i < n && out->n < 2; i++) {
 		unsigned to = plan->near[from * n + i];
 
-		if (to != zone && stays(plan, to, h, wall_ms))
+		if (to != zone && stays(plan, to, position, wall_ms))
 			add_member(plan, to, h, turn, out, "second zone");
 	}
 	if (out->n > 0)
--- a/tests/unit/test-policy-plan.c
+++ b/tests/unit/test-policy-plan.c
@@ -1,5 +1,6 @@
 /* Tests of the steering plan and of locate. */
 #include <glib.h>
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -217,6 +218,39 @@
 	cs_view_destroy(v);
 }
 
+/* Guards against a caller that sends most of the requests and moves all of them at one moment. */
+static void test_drain_one_caller(void)
+{
+	struct fx_shape shape = {.cap_pct_s = 10,
+				 .drains = "{\"id\":\"d-1\",\"zone\":\"z-0-0\","
+					   "\"start\":\"2026-12-05T18:26:40Z\","
+					   "\"deadline\":\"2026-12-05T19:26:40Z\"}"};
+	struct cs_view *v = four_zones(&shape, 2);
+	struct cs_plan *plan = cs_plan_create(v, WALL);
+	unsigned ramp = 2, turn, stay;
+	double left, most = 0;
+	struct cs_located l;
+	uint8_t addr[16];
+	int64_t t;
+
+	caller(0, 7, addr);
+	for (t = WALL; ramp > 0 && t < WALL + 600000; t += 1000) {
+		left = cs_shift_entry(v->cfg, 0, t + v->cfg->shift.lookup_ttl_ms);
+		for (stay = 0, turn = 0; turn < 200; turn++) {
+			g_assert_true(cs_plan_locate(plan, FX_LOOKUPS, addr, t, turn, &l));
+			stay += strcmp(l.members[0]->zone, "z-0-0") == 0;
+		}
+		if (fabs(stay / 200.0 - left) > most)
+			most = fabs(stay / 200.0 - left);
+		if (left <= 0)
+			ramp = 0;
+	}
+	g_assert_cmpuint(ramp, ==, 0);
+	g_assert_cmpfloat(most, <, 0.02);
+	cs_plan_destroy(plan);
+	cs_view_destroy(v);
+}
+
 /* Guards against one instance that does all the work of a zone when one caller sends most of it. */
 static void test_turns(void)
 {
@@ -318,6 +352,7 @@
 	g_test_add_func("/policy/plan/drain", test_drain);
 	g_test_add_func("/policy/plan/spread", test_spread);
 	g_test_add_func("/policy/plan/turns", test_turns);
+	g_test_add_func("/policy/plan/drain-one-caller", test_drain_one_caller);
 	g_test_add_func("/policy/plan/last-zone", test_last_zone);
 	g_test_add_func("/policy/plan/settles", test_settles);
 	return g_test_run();
