--- a/src/agentd/core-int.h
+++ b/src/agentd/core-int.h
@@ -154,8 +154,8 @@
 	struct edge standby; /* from the second relay to the first */
 	uint64_t row_clock, zone_sent; /* zone_sent: row clock of the last relayed digest */
 	uint64_t published_us, content_us, relayed_us, zone_sent_us, probe_us, edges_us;
-	uint64_t loads_shown_us, means_us;
-	bool loads_pending; /* changed, not yet in the view */
+	uint64_t loads_shown_us, others_shown_us, means_us;
+	bool loads_pending, others_pending; /* changed, not yet in the view */
 	struct cs_wire_stamp relayed; /* of the last relayed digest taken */
 	char relayed_by[CS_NAME_MAX];
 	unsigned rank; /* of this instance among the members of its zone */
@@ -248,6 +248,8 @@
 /* View. */
 void view_members_changed(struct core *c);
 void view_servers_changed(struct core *c);
+/* Members of other zones; shown by the next view_tick that is due. */
+void view_others_changed(struct core *c);
 void view_loads_changed(struct core *c);
 void view_tick(struct core *c, uint64_t now_us);
 
--- a/src/agentd/core-members.c
+++ b/src/agentd/core-members.c
@@ -140,6 +140,17 @@
 	return n == 0 ? 0 : CORE_RELAYS;
 }
 
+/* Notes a change of a member for the view, and of the own zone for its row. */
+static void member_changed(struct core *c, const struct member *m)
+{
+	if (m->here) {
+		view_members_changed(c);
+		c->digest_now = true;
+	} else {
+		view_others_changed(c);
+	}
+}
+
 void member_update(struct core *c, struct member *m, uint64_t now_us)
 {
 	enum cs_member_state st = m->here ? state_here(c, m, now_us) : state_there(m);
@@ -148,16 +159,12 @@
 	if (st != m->state && m->here)
 		cs_log(CS_INFO, "members", "Member changed state. instance=%s from=%s to=%s",
 		       m->name, cs_member_state_name(m->state), cs_member_state_name(st));
-	if (st != m->state) {
-		view_members_changed(c);
-		c->digest_now |= m->here;
-	}
+	if (st != m->state)
+		member_changed(c, m);
 	m->state = st;
 	ready = ready_now(m);
-	if (ready != m->shown_ready) {
-		view_members_changed(c);
-		c->digest_now |= m->here;
-	}
+	if (ready != m->shown_ready)
+		member_changed(c, m);
 	m->shown_ready = ready;
 }
 
--- a/src/agentd/core-rows.c
+++ b/src/agentd/core-rows.c
@@ -213,7 +213,7 @@
 	z->stamp = w->stamp;
 	z->from = from;
 	if (z->revision != w->revision)
-		view_members_changed(c);
+		view_others_changed(c);
 	z->revision = w->revision;
 	row_heard(z, w->age_ms, now_us);
 	if (z->changed == 0 || content != w->content)
--- a/src/agentd/core-view.c
+++ b/src/agentd/core-view.c
@@ -4,6 +4,9 @@
 
 #include "core-int.h"
 
+/* Longest wait of a change of another zone's member; a lost zone must be gone from lookups soon. */
+#define OTHERS_MAX_US (500 * CS_US_PER_MS)
+
 void view_members_changed(struct core *c)
 {
 	c->members_seq = ++c->view_seq;
@@ -19,14 +22,31 @@
 	c->loads_pending = true;
 }
 
-/* With many zones some load changes all the time; the daemons get them together. */
+void view_others_changed(struct core *c)
+{
+	c->others_pending = true;
+}
+
+/*
+ * With many zones some load or member changes all the time; the daemons get the changes of a while
+ * together.
+ */
 void view_tick(struct core *c, uint64_t now_us)
 {
-	if (!c->loads_pending || now_us - c->loads_shown_us < row_interval(c) / 2)
-		return;
-	c->loads_pending = false;
-	c->loads_shown_us = now_us;
-	c->loads_seq = ++c->view_seq;
+	uint64_t wait = row_interval(c) / 2;
+
+	if (c->loads_pending && now_us - c->loads_shown_us >= wait) {
+		c->loads_pending = false;
+		c->loads_shown_us = now_us;
+		c->loads_seq = ++c->view_seq;
+	}
+	if (wait > OTHERS_MAX_US)
+		wait = OTHERS_MAX_US;
+	if (c->others_pending && now_us - c->others_shown_us >= wait) {
+		c->others_pending = false;
+		c->others_shown_us = now_us;
+		view_members_changed(c);
+	}
 }
 
 uint64_t core_sequence(const struct core *c)
--- a/src/agentd/core.c
+++ b/src/agentd/core.c
@@ -320,6 +320,25 @@
 	c->self->revision = c->cfg ? c->cfg->revision : 0;
 }
 
+/*
+ * A server that told the proxy that it drains is shown so until the next health poll. Its other
+ * states stay first-hand knowledge of the proxy.
+ */
+static void servers_seen(struct core *c, const struct cs_report *r)
+{
+	struct server *s;
+	unsigned i;
+
+	for (i = 0; i < r->n_servers; i++) {
+		s = server_find(c, r->servers[i].server);
+		if (s == NULL || s->state != CS_SERVER_READY ||
+		    r->servers[i].state != CS_SERVER_DRAINING)
+			continue;
+		s->state = CS_SERVER_DRAINING;
+		view_servers_changed(c);
+	}
+}
+
 bool core_report(struct core *c, const struct cs_wire_report *r, uint64_t now_us)
 {
 	struct daemon *d = &c->daemons[r->body.kind];
@@ -337,6 +356,7 @@
 	d->loads = cs_xcalloc(d->n_loads, sizeof(*d->loads));
 	if (d->n_loads > 0)
 		memcpy(d->loads, r->body.loads, d->n_loads * sizeof(*d->loads));
+	servers_seen(c, &r->body);
 	self_update(c, now_us);
 	return true;
 }
--- a/src/agentd/watch.c
+++ b/src/agentd/watch.c
@@ -33,7 +33,7 @@
 	struct cs_store *store;
 	LIST_HEAD(, poll) polls;
 	bool active;
-	struct cs_config *cfg; /* whose services are polled; compared only */
+	uint64_t revision; /* of the document whose services are polled */
 };
 
 static void on_answer(const struct cs_store_result *res, void *arg);
@@ -122,14 +122,15 @@
 	struct cs_config *cfg = core_current(w->agent->core);
 	bool active = core_is_watcher(w->agent->core);
 	struct poll *p, *next;
+	uint64_t revision = cfg ? cfg->revision : 0;
 	unsigned i;
 
-	if (active == w->active && cfg == w->cfg)
+	if (active == w->active && revision == w->revision)
 		return;
 	if (active != w->active)
 		cs_log(CS_INFO, "watch", "%s", active ? "Watching the store." : "Not watching.");
 	w->active = active;
-	w->cfg = cfg;
+	w->revision = revision;
 	LIST_FOREACH(p, &w->polls, entry)
 		p->wanted = false;
 	if (active) {
--- a/tests/unit/test-core.c
+++ b/tests/unit/test-core.c
@@ -403,6 +403,28 @@
 	net_end(&net);
 }
 
+/* Guards against a proxy's word that a server drains being lost until the next health poll. */
+static void test_server_seen(void)
+{
+	struct cs_report_server sv = {.server = "s-1", .state = CS_SERVER_DRAINING};
+	struct cs_wire_report r = {.started = 10, .body = {.servers = &sv, .n_servers = 1}};
+	struct cs_wire_entry e = {.id = "s-1", .zone = "a", .addr = "10.0.0.50", .port = 80};
+	struct cs_wire_list_doc doc = {
+		.service = "orders", .version = 3, .entries = &e, .n_entries = 1};
+	struct cs_view *v;
+	struct net net;
+
+	start(&net, 1, 0, 0);
+	core_list_read(net.nodes[0].core, &doc, net.now_us);
+	core_server(net.nodes[0].core, "s-1", CS_SERVER_READY, 6, 0, 1000, net.now_us);
+	core_report(net.nodes[0].core, &r, net.now_us);
+	v = core_view(net.nodes[0].core, net.now_us);
+	g_assert_cmpuint(v->n_servers, ==, 1);
+	g_assert_cmpint(v->servers[0].state, ==, CS_SERVER_DRAINING);
+	cs_view_destroy(v);
+	net_end(&net);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -421,5 +443,6 @@
 	g_test_add_func("/core/snapshot", test_snapshot);
 	g_test_add_func("/core/resume", test_resume);
 	g_test_add_func("/core/replaced-daemon", test_replaced_daemon);
+	g_test_add_func("/core/server-seen", test_server_seen);
 	return g_test_run();
 }
