--- a/src/check/check.h
+++ b/src/check/check.h
@@ -94,7 +94,8 @@
 /* Reports one violation with the time line of an operation; op may be NULL. */
 void check_violation(struct check *c, const char *rule, const struct op *op, const char *fmt, ...)
 	__attribute__((format(printf, 4, 5)));
-/* Whether a fault that can explain a finding of the rule overlaps the time, in the zone or
+/*
+ * Whether a fault that can explain a finding of the rule overlaps the time, in the zone or
  * anywhere. */
 bool check_excused(const struct check *c, const char *rule, const char *zone, uint64_t from_us,
 		   uint64_t to_us);
--- a/tests/unit/test-check.c
+++ b/tests/unit/test-check.c
@@ -262,6 +262,18 @@
 	expect(f, 0, "");
 }
 
+static double come_back(int t)
+{
+	return t == 33 ? 0.8 : ramp(t);
+}
+
+/* Requests that come back because the other zones fail may leave again at once. */
+static void return_is_no_shift(struct fixture *f, gconstpointer data)
+{
+	shift(f, come_back);
+	expect(f, 0, "");
+}
+
 /* A fault that only explains late configurations does not explain moved traffic. */
 static void other_excuse(struct fixture *f, gconstpointer data)
 {
@@ -289,6 +301,31 @@
 	expect(f, 1, "stop");
 }
 
+/* q1 got 502 while another zone was cut, q2 got no answer then, q3 got 502 without any fault. */
+static void stop_beside_cut(struct fixture *f, gconstpointer data)
+{
+	static const struct {
+		const char *id;
+		int status;
+		unsigned at_ms;
+	} ops[] = {{"q1", 502, 5000}, {"q2", 0, 5000}, {"q3", 502, 7000}};
+	char line[256];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(ops); i++) {
+		snprintf(line, sizeof(line),
+			 "{\"id\":\"%s\",\"planned_us\":%u000,\"sent_us\":%u000,\"end_us\":%u000,"
+			 "\"outcome\":\"unknown\",\"entry\":\"a-1\",\"status\":%d}",
+			 ops[i].id, ops[i].at_ms, ops[i].at_ms, ops[i].at_ms + 10, ops[i].status);
+		check_history_line(f->check, line);
+	}
+	check_fact_line(f->check, "{\"fact\":\"stop\",\"name\":\"a-1\",\"zone\":\"a\","
+				  "\"from_us\":4000000,\"to_us\":8000000}");
+	check_fact_line(f->check, "{\"fact\":\"fault\",\"what\":\"cut-zone\",\"zone\":\"b\","
+				  "\"from_us\":4500000,\"to_us\":6000000}");
+	expect(f, 2, "stop");
+}
+
 /* A connection that the stopped instance refused carried no request. */
 static void stop_refuses(struct fixture *f, gconstpointer data)
 {
@@ -392,10 +429,12 @@
 		{"cap/ramp", drain_in_time},
 		{"cap/jump", drain_over_cap},
 		{"cap/failover", failover_is_no_shift},
+		{"cap/return", return_is_no_shift},
 		{"cap/other-excuse", other_excuse},
 		{"cap/late", drain_late},
 		{"stop/cut", stop_cuts},
 		{"stop/refused", stop_refuses},
+		{"stop/beside-cut", stop_beside_cut},
 		{"config/sound", config_sound},
 		{"config/reverts", config_reverts},
 		{"config/late", config_late},
