Renew the lookup plan from the former one

The parts of the steering plan swung by 0.43 from plan to plan in a zone that is overfull (unit figure of the policy tests), because each plan was made without the former one and took its own effect for new demand. cassia-lookupd now uses cs_plan_renew, which the plan's tests cover.

--- a/src/lookupd/steer.c
+++ b/src/lookupd/steer.c
@@ -139,17 +139,24 @@
 	}
 }
 
-/* Puts the waiting view into force, if there is one, and makes a plan for the present time. */
+/*
+ * Puts the waiting view into force, if there is one, and makes a plan for the present time. The
+ * former plan is needed for it, so that the parts settle instead of swinging.
+ */
 static void make_plan(struct steer *s)
 {
+	const struct cs_view *v = s->next != NULL ? s->next : s->view;
+	struct cs_plan *plan = cs_plan_renew(s->plan, v, cs_wall_ms());
+
 	if (s->next != NULL) {
 		drop_view(s);
 		s->view = s->next;
 		s->next = NULL;
 		render(s);
+	} else {
+		cs_plan_destroy(s->plan);
 	}
-	cs_plan_destroy(s->plan);
-	s->plan = cs_plan_create(s->view, cs_wall_ms());
+	s->plan = plan;
 	s->planned_us = cs_mono_us();
 	s->plans++;
 	cs_timer_stop(&s->due);
