Decide waiting requests again every 20 ms, and give up loans after a freeze

Slots also open by time (end of a back-off, a hold, an ejection), without an event that makes the proxy ask again; a request then waited until another ended. A proxy that was frozen now tells the policy, which gives up what it borrowed.

--- a/src/proxyd/main.c
+++ b/src/proxyd/main.c
@@ -9,6 +9,11 @@
 
 #define LANE_CONNECTIONS_MAX 2048L
 
+/* How often waiting requests are decided again without an event. */
+#define RETRY_US (20 * CS_US_PER_MS)
+/* A longer pause between two turns of the loop counts as a freeze. */
+#define GAP_US (2 * CS_US_PER_S)
+
 static struct cs_setting settings[] = {
 	{.name = "instance", .kind = CS_SET_STRING, .unit = "", .help = "Name of this instance"},
 	{.name = "zone", .kind = CS_SET_STRING, .unit = "", .help = "Availability zone"},
@@ -33,13 +38,13 @@
 	 .def = "least",
 	 .choices = CS_CHOICE_NAMES,
 	 .unit = "",
-	 .help = "Choice of server: "},
+	 .help = "Choice of server"},
 	{.name = "backoff",
 	 .kind = CS_SET_CHOICE,
 	 .def = "wait",
 	 .choices = CS_BACKOFF_NAMES,
 	 .unit = "",
-	 .help = "When every server is in back-off: "},
+	 .help = "When every server is in back-off"},
 	{.name = "log-level",
 	 .kind = CS_SET_CHOICE,
 	 .def = "notice",
@@ -56,6 +61,8 @@
 
 static void on_before(struct ev_loop *loop, ev_prepare *w, int events);
 static void on_awake(struct ev_loop *loop, ev_idle *w, int events);
+static void on_retry(struct cs_timer *t, void *arg);
+static void on_gap(uint64_t gap_us, void *arg);
 
 /* Names travel in messages and headers: 1 to 47 of [A-Za-z0-9._-]. */
 static bool check_name(const char *setting, const char *value, struct cs_msg *msg)
@@ -119,6 +126,9 @@
 	cs_rng_seed(&p->ids, cs_random_u64());
 	p->policy = cs_policy_create(&opts);
 	p->outcomes = outcomes_create(OUTCOME_ENTRIES_MAX, OUTCOME_BYTES_MAX, OUTCOME_KEEP_US);
+	cs_timer_init(&p->retry, on_retry, p);
+	cs_timer_start_every(p->timers, &p->retry, RETRY_US);
+	cs_timers_on_gap(p->timers, GAP_US, on_gap, p);
 	p->sockets = sockets_create();
 	stats_init(&p->stats);
 	/*
@@ -169,6 +179,23 @@
 	ev_idle_start(p->loop, &p->awake);
 }
 
+/* Slots also open by time: at the end of a back-off, of a hold or of an ejection. */
+static void on_retry(struct cs_timer *t, void *arg)
+{
+	struct proxyd *p = arg;
+
+	p->pump = true;
+}
+
+static void on_gap(uint64_t gap_us, void *arg)
+{
+	struct proxyd *p = arg;
+
+	cs_log(CS_WARNING, "main", "Process did not run. gap_ms=%llu",
+	       (unsigned long long)(gap_us / CS_US_PER_MS));
+	cs_policy_gap(p->policy, cs_mono_us());
+}
+
 /* News from libcurl's callbacks, then waiting requests that can go on now. */
 static void on_before(struct ev_loop *loop, ev_prepare *w, int events)
 {
--- a/src/proxyd/proxyd.h
+++ b/src/proxyd/proxyd.h
@@ -191,6 +191,7 @@
 	unsigned n_pool, n_conns, n_requests, n_lingers;
 	struct cs_rng ids; /* of request ids; a system call for each would be slow */
 	bool pump; /* waiting requests may go on */
+	struct cs_timer retry;
 	ev_prepare before;
 	ev_idle awake; /* active while work or pump is set */
 	ev_signal term, intr;
