Agree to no roster for one timeout after a proxy restarts alone

A proxy that is killed under a living agent leaves requests running at servers; its successor reported its roster within 250 ms, so that the zone could agree on shares too early. The agent now names roster 0 for the longest timeout. test_replaced_roster guards it.

--- a/src/agentd/core-int.h
+++ b/src/agentd/core-int.h
@@ -115,6 +115,7 @@
 
 struct daemon {
 	uint64_t started;
+	uint64_t replaced_us; /* when a new process was first heard after another; 0: never */
 	uint64_t heard_us; /* 0: never */
 	bool ready, stopping;
 	uint64_t roster, revision;
--- a/src/agentd/core.c
+++ b/src/agentd/core.c
@@ -339,17 +339,36 @@
 	}
 }
 
+/*
+ * Roster that the proxy works by. After a restart of the proxy alone, requests of the former
+ * process may run for one timeout more, so that the instance agrees to no roster for that time.
+ */
+static uint64_t roster_of(const struct core *c, const struct daemon *d, uint64_t roster,
+			  uint64_t now_us)
+{
+	unsigned longest_ms = 0, i;
+
+	for (i = 0; c->cfg != NULL && i < c->cfg->n_classes; i++)
+		if (c->cfg->classes[i].timeout_ms > longest_ms)
+			longest_ms = c->cfg->classes[i].timeout_ms;
+	if (d->replaced_us != 0 && now_us < d->replaced_us + longest_ms * CS_US_PER_MS)
+		return 0;
+	return roster;
+}
+
 bool core_report(struct core *c, const struct cs_wire_report *r, uint64_t now_us)
 {
 	struct daemon *d = &c->daemons[r->body.kind];
 
 	if (r->started < d->started)
 		return false;
+	if (d->started != 0 && r->started > d->started)
+		d->replaced_us = now_us;
 	d->started = r->started;
 	d->heard_us = now_us;
 	d->ready = r->body.ready;
 	d->stopping = r->body.stopping;
-	d->roster = r->body.roster;
+	d->roster = roster_of(c, d, r->body.roster, now_us);
 	d->revision = r->body.revision;
 	free(d->loads);
 	d->n_loads = r->body.n_loads;
--- a/tests/unit/test-core.c
+++ b/tests/unit/test-core.c
@@ -403,6 +403,40 @@
 	net_end(&net);
 }
 
+/* Reports of a proxy process by its start, for a while. */
+static void report_as(struct net *net, uint64_t started, unsigned seconds)
+{
+	struct cs_wire_report r = {.started = started,
+				   .body = {.kind = CS_LINK_PROXY, .ready = true}};
+	unsigned i;
+
+	r.body.roster = 42;
+	for (i = 0; i < 4 * seconds; i++) {
+		core_report(net->nodes[0].core, &r, net->now_us);
+		net_collect(net, 0);
+		net_run(net, 250);
+	}
+}
+
+/* Guards against an agreement on slots while requests of a killed proxy may still run. */
+static void test_replaced_roster(void)
+{
+	struct cs_member m = {0};
+	struct net net;
+
+	start(&net, 2, 0, 0);
+	report_as(&net, 10, 2);
+	g_assert_true(net_member(&net, 1, 0, &m));
+	g_assert_cmpuint(m.roster, ==, 42);
+	report_as(&net, 20, 1);
+	g_assert_true(net_member(&net, 1, 0, &m));
+	g_assert_cmpuint(m.roster, ==, 0);
+	report_as(&net, 20, 60);
+	g_assert_true(net_member(&net, 1, 0, &m));
+	g_assert_cmpuint(m.roster, ==, 42);
+	net_end(&net);
+}
+
 /* Guards against a proxy's word that a server drains being lost until the next health poll. */
 static void test_server_seen(void)
 {
@@ -443,6 +477,7 @@
 	g_test_add_func("/core/snapshot", test_snapshot);
 	g_test_add_func("/core/resume", test_resume);
 	g_test_add_func("/core/replaced-daemon", test_replaced_daemon);
+	g_test_add_func("/core/replaced-roster", test_replaced_roster);
 	g_test_add_func("/core/server-seen", test_server_seen);
 	return g_test_run();
 }
