--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -67,8 +67,12 @@
 	}
 	f->headers = curl_slist_append(f->headers, "Expect:");
 	curl_easy_setopt(e, CURLOPT_HTTPHEADER, f->headers);
-	if (opts->method != NULL)
+	if (opts->method != NULL) {
 		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, opts->method);
+		/* libcurl resends a request when a kept connection closes; a write must not run
+		 * twice. */
+		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+	}
 	cs_curl_start(c, e, on_done, f);
 	return f;
 }
