--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -127,9 +127,10 @@
 	char name[96];
 
 	env_name(s, name, sizeof(name));
-	return cs_xasprintf("%s%s%s%s%s%s [%s]", s->help, *s->unit ? ", " : "", s->unit,
+	return cs_xasprintf("%s%s%s%s%s%s%s [%s]", s->help, *s->unit ? ", " : "", s->unit,
+			    s->choices ? ", one of " : "", s->choices ? s->choices : "",
 			    s->def == NULL ? " (required)" : (*s->def ? ", default " : ""),
-			    s->def == NULL ? "" : s->def, s->choices ? s->choices : "", name);
+			    s->def == NULL ? "" : s->def, name);
 }
 
 /* Parses flags with GLib; values land in raw[], which this function's caller frees. */
