Read empty strings of a message without their pointer

msgpack gives an empty string a null pointer, which memchr and memcpy must not get: the undefined behaviour sanitizer stopped test-bus in /link/views.

--- a/lib/wire/element.c
+++ b/lib/wire/element.c
@@ -97,20 +97,28 @@
 	return o != NULL && o->via.boolean;
 }
 
+/* True for text of less than max bytes without NUL bytes. msgpack points an empty one nowhere. */
+static bool is_text(const msgpack_object *o, size_t max)
+{
+	if (o == NULL || o->via.str.size >= max)
+		return false;
+	return o->via.str.size == 0 || memchr(o->via.str.ptr, '\0', o->via.str.size) == NULL;
+}
+
 const char *read_text(struct reader *r, size_t max, size_t *len)
 {
 	const msgpack_object *o = next_item(r, MSGPACK_OBJECT_STR);
 	char *s;
 
-	if (o == NULL || o->via.str.size >= max ||
-	    memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL) {
+	if (!is_text(o, max)) {
 		*r->bad = true;
 		*len = 0;
 		return "";
 	}
 	*len = o->via.str.size;
 	s = arena_alloc(r->arena, *len + 1, 1);
-	memcpy(s, o->via.str.ptr, *len);
+	if (*len > 0)
+		memcpy(s, o->via.str.ptr, *len);
 	s[*len] = '\0';
 	return s;
 }
@@ -127,12 +135,12 @@
 	const msgpack_object *o = next_item(r, MSGPACK_OBJECT_STR);
 
 	out[0] = '\0';
-	if (o == NULL || o->via.str.size >= size ||
-	    memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL) {
+	if (!is_text(o, size)) {
 		*r->bad = true;
 		return;
 	}
-	memcpy(out, o->via.str.ptr, o->via.str.size);
+	if (o->via.str.size > 0)
+		memcpy(out, o->via.str.ptr, o->via.str.size);
 	out[o->via.str.size] = '\0';
 }
 
