--- a/lib/policy/share.c
+++ b/lib/policy/share.c
@@ -66,11 +66,22 @@
 	return false;
 }
 
+/* Hold time of the service with the longest time limit. */
+static uint64_t longest_hold_us(const struct cs_policy *p)
+{
+	return LIST_LAG_US + shift_longest_timeout_ms(p->cfg) * CS_US_PER_MS;
+}
+
 /* True if some process that may still have requests at servers has left the rosters. */
 static bool leave_pending(const struct cs_policy *p)
 {
+	const struct roster *now = &p->rosters[p->n_rosters - 1];
 	unsigned i;
 
+	for (i = 0; i < p->n_peers; i++)
+		if (p->peers[i].ended_us > 0 && roster_find(now, p->peers[i].name) >= 0 &&
+		    p->now_us < p->peers[i].ended_us + longest_hold_us(p))
+			return true;
 	for (i = 0; i + 1 < p->n_rosters; i++)
 		if (!roster_nobody_left(&p->rosters[i], &p->rosters[p->n_rosters - 1]))
 			return true;
@@ -207,15 +218,14 @@
 void share_refresh(struct cs_policy *p, uint64_t now_us)
 {
 	struct cs_target *t;
-	struct svc *s;
 
 	if (p->n_rosters == 0)
 		return;
 	rosters_prune(p, now_us);
 	TAILQ_FOREACH(t, &p->all, in_all)
 		share_of_target(p, t, now_us);
-	TAILQ_FOREACH(s, &p->svcs, entry)
-		open_refresh_all(p, s, now_us);
+	open_refresh_every(p, now_us);
+	p->share_dirty = false;
 }
 
 static void loans_update(struct cs_policy *p, const struct cs_view *v, uint64_t now_us)
@@ -267,6 +277,7 @@
 		roster_free(&p->rosters[p->n_rosters - 1]);
 		p->rosters[p->n_rosters - 1] = next;
 	} else {
+		p->share_dirty = true;
 		p->rosters[p->n_rosters - 1].left_us = now_us;
 		/* A roster that comes back is present again, not former. */
 		for (i = 0; i < p->n_rosters; i++)
@@ -277,7 +288,10 @@
 		p->rosters[p->n_rosters++] = next;
 	}
 	loans_update(p, v, now_us);
-	share_refresh(p, now_us);
+	if (p->share_dirty || now_us >= p->share_due_us)
+		share_refresh(p, now_us);
+	else
+		open_refresh_every(p, now_us);
 }
 
 void share_clear(struct cs_policy *p)
@@ -287,7 +301,8 @@
 	free(p->peers);
 }
 
-bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster, bool fresh)
+bool peer_set(struct cs_policy *p, const char *instance, uint64_t roster, bool fresh,
+	      uint64_t now_us)
 {
 	uint64_t name = cs_hash_str(instance, 0);
 	unsigned i;
@@ -299,18 +314,23 @@
 		p->peers[p->n_peers++].name = name;
 		p->peers[i].roster = 0;
 		p->peers[i].fresh = false;
+		p->peers[i].ended_us = 0;
 	}
 	if (p->peers[i].roster == roster && p->peers[i].fresh == fresh)
 		return false;
+	/* A proxy names 0 only before its first view: its process ended, its agent goes on. */
+	if (p->peers[i].roster != 0 && roster == 0 && name != p->self)
+		p->peers[i].ended_us = now_us;
 	p->peers[i].roster = roster;
 	p->peers[i].fresh = fresh;
+	p->share_dirty = true;
 	return true;
 }
 
 void cs_policy_peer_roster(struct cs_policy *p, const char *instance, uint64_t roster,
 			   uint64_t now_us)
 {
-	if (peer_set(p, instance, roster, true) && p->n_rosters > 1)
+	if (peer_set(p, instance, roster, true, now_us) && p->n_rosters > 1)
 		share_refresh(p, now_us);
 }
 
--- a/src/agentd/core-view.c
+++ b/src/agentd/core-view.c
@@ -4,6 +4,9 @@
 
 #include "core-int.h"
 
+/* Longest wait of a change of another zone's member; a lost zone must be gone from lookups soon. */
+#define OTHERS_MAX_US (500 * CS_US_PER_MS)
+
 void view_members_changed(struct core *c)
 {
 	c->members_seq = ++c->view_seq;
@@ -16,7 +19,34 @@
 
 void view_loads_changed(struct core *c)
 {
-	c->loads_seq = ++c->view_seq;
+	c->loads_pending = true;
+}
+
+void view_others_changed(struct core *c)
+{
+	c->others_pending = true;
+}
+
+/*
+ * With many zones some load or member changes all the time; the daemons get the changes of a while
+ * together.
+ */
+void view_tick(struct core *c, uint64_t now_us)
+{
+	uint64_t wait = row_interval(c) / 2;
+
+	if (c->loads_pending && now_us - c->loads_shown_us >= wait) {
+		c->loads_pending = false;
+		c->loads_shown_us = now_us;
+		c->loads_seq = ++c->view_seq;
+	}
+	if (wait > OTHERS_MAX_US)
+		wait = OTHERS_MAX_US;
+	if (c->others_pending && now_us - c->others_shown_us >= wait) {
+		c->others_pending = false;
+		c->others_shown_us = now_us;
+		view_members_changed(c);
+	}
 }
 
 uint64_t core_sequence(const struct core *c)
@@ -81,12 +111,12 @@
 }
 
 /* Name of a service by its key, or NULL if the configuration has none. */
-static const char *service_name(const struct core *c, uint32_t key)
+static const char *service_name(const struct core *c, const uint32_t *keys, uint32_t key)
 {
 	unsigned i;
 
 	for (i = 0; c->cfg != NULL && i < c->cfg->n_services; i++)
-		if (cs_wire_key(c->cfg->services[i].name) == key)
+		if (keys[i] == key)
 			return c->cfg->services[i].name;
 	return NULL;
 }
@@ -98,14 +128,17 @@
 	struct zone_row *z;
 	const char *name;
 	unsigned i, n = 0;
+	uint32_t *keys = cs_xcalloc(c->cfg ? c->cfg->n_services : 0, sizeof(*keys));
 
+	for (i = 0; c->cfg != NULL && i < c->cfg->n_services; i++)
+		keys[i] = cs_wire_key(c->cfg->services[i].name);
 	for (z = zone_first(c); z != NULL; z = zone_next(z))
 		n += z->n_loads;
 	v->loads = cs_xcalloc(n, sizeof(*v->loads));
 	for (z = zone_first(c); z != NULL; z = zone_next(z)) {
 		for (i = 0; i < z->n_loads; i++) {
 			l = &z->loads[i];
-			name = service_name(c, l->service);
+			name = service_name(c, keys, l->service);
 			if (name == NULL)
 				continue;
 			out = &v->loads[v->n_loads++];
@@ -121,6 +154,7 @@
 			out->age_us = since(z->heard_us, now_us);
 		}
 	}
+	free(keys);
 }
 
 struct cs_view *core_view(struct core *c, uint64_t now_us)
--- a/src/agentd/core.c
+++ b/src/agentd/core.c
@@ -41,7 +41,6 @@
 	c->opts.peers = c->peers;
 	cs_rng_seed(&c->rng, opts->seed);
 	RB_INIT(&c->members);
-	TAILQ_INIT(&c->here);
 	RB_INIT(&c->servers);
 	RB_INIT(&c->zones);
 	LIST_INIT(&c->lists);
@@ -77,6 +76,7 @@
 		list_free(l);
 	}
 	free(c->loads);
+	free(c->means);
 	free(c->daemons[0].loads);
 	free(c->daemons[1].loads);
 	cs_config_unref(c->cfg);
@@ -107,16 +107,14 @@
 	m->state = CS_MEMBER_SUSPECT;
 	m->heard_us = now_us;
 	RB_INSERT(member_tree, &c->members, m);
-	if (m->here)
-		TAILQ_INSERT_TAIL(&c->here, m, here_entry);
+	TAILQ_INSERT_TAIL(&m->row->members, m, zone_entry);
 	return m;
 }
 
 void member_free(struct core *c, struct member *m)
 {
 	RB_REMOVE(member_tree, &c->members, m);
-	if (m->here)
-		TAILQ_REMOVE(&c->here, m, here_entry);
+	TAILQ_REMOVE(&m->row->members, m, zone_entry);
 	free(m->loads);
 	free(m);
 }
@@ -187,6 +185,8 @@
 	z = cs_xcalloc(1, sizeof(*z));
 	cs_copy(z->zone, sizeof(z->zone), zone);
 	z->key = search.key;
+	z->phase = CS_MEMBER_SUSPECT;
+	TAILQ_INIT(&z->members);
 	RB_INSERT(zone_tree, &c->zones, z);
 	return z;
 }
@@ -320,24 +320,62 @@
 	c->self->revision = c->cfg ? c->cfg->revision : 0;
 }
 
+/*
+ * A server that told the proxy that it drains is shown so until the next health poll. Its other
+ * states stay first-hand knowledge of the proxy.
+ */
+static void servers_seen(struct core *c, const struct cs_report *r)
+{
+	struct server *s;
+	unsigned i;
+
+	for (i = 0; i < r->n_servers; i++) {
+		s = server_find(c, r->servers[i].server);
+		if (s == NULL || s->state != CS_SERVER_READY ||
+		    r->servers[i].state != CS_SERVER_DRAINING)
+			continue;
+		s->state = CS_SERVER_DRAINING;
+		view_servers_changed(c);
+	}
+}
+
+/*
+ * Roster that the proxy works by. After a restart of the proxy alone, requests of the former
+ * process may run for one timeout more, so that the instance agrees to no roster for that time.
+ */
+static uint64_t roster_of(const struct core *c, const struct daemon *d, uint64_t roster,
+			  uint64_t now_us)
+{
+	unsigned longest_ms = 0, i;
+
+	for (i = 0; c->cfg != NULL && i < c->cfg->n_classes; i++)
+		if (c->cfg->classes[i].timeout_ms > longest_ms)
+			longest_ms = c->cfg->classes[i].timeout_ms;
+	if (d->replaced_us != 0 && now_us < d->replaced_us + longest_ms * CS_US_PER_MS)
+		return 0;
+	return roster;
+}
+
 bool core_report(struct core *c, const struct cs_wire_report *r, uint64_t now_us)
 {
 	struct daemon *d = &c->daemons[r->body.kind];
 
 	if (r->started < d->started)
 		return false;
+	if (d->started != 0 && r->started > d->started)
+		d->replaced_us = now_us;
 	d->started = r->started;
 	d->heard_us = now_us;
 	d->ready = r->body.ready;
 	d->stopping = r->body.stopping;
-	d->roster = r->body.roster;
+	d->roster = roster_of(c, d, r->body.roster, now_us);
 	d->revision = r->body.revision;
 	free(d->loads);
 	d->n_loads = r->body.n_loads;
 	d->loads = cs_xcalloc(d->n_loads, sizeof(*d->loads));
 	if (d->n_loads > 0)
 		memcpy(d->loads, r->body.loads, d->n_loads * sizeof(*d->loads));
-	c->loads_dirty = true;
+	servers_seen(c, &r->body);
 	self_update(c, now_us);
 	return true;
 }
@@ -361,6 +399,7 @@
 	if (c->heartbeat_now || now_us >= c->heartbeat_due_us)
 		members_send_heartbeats(c, now_us);
 	digest_tick(c, now_us);
+	view_tick(c, now_us);
 }
 
 void core_resume(struct core *c, uint64_t now_us)
@@ -369,9 +408,9 @@
 	struct member *m;
 
 	c->stale = true;
-	TAILQ_FOREACH(m, &c->here, here_entry)
-		if (m->state <= CS_MEMBER_SUSPECT)
-			m->heard_us = now_us;
+	FOREACH_HERE(m, c)
+	if (m->state <= CS_MEMBER_SUSPECT)
+		m->heard_us = now_us;
 	for (z = zone_first(c); z != NULL; z = zone_next(z))
 		if (z->heard_us != 0)
 			z->heard_us = now_us;
