policy: eject after four late attempts where the share is small

The servers' run logs show 305 of 10,788 requests at slowed servers or stragglers, 190 hedges and 121 requests over 180 ms: just over 1 in 100. An instance's share of a server is 4 or 5 slots, so that five late attempts are there only after one ended, a slowed service time later.

Ruled out: waiting for slots (1 request waited more than 60 ms), useless hedges (188 of 190 ended below 200 ms), the draw of slowed servers.

Change: four late attempts eject where the share is five slots or less.

--- a/lib/policy/eject.c
+++ b/lib/policy/eject.c
@@ -5,6 +5,12 @@
 #include "policy/internal.h"
 
 #define EJECT_DOUBT 10.0 /* five late attempts in a row */
+/*
+ * Four, where the share of a server is five slots or less: they hold hardly a fifth attempt, and
+ * waiting for one to end costs a slowed service time. Fewer would eject healthy servers by chance.
+ */
+#define EJECT_DOUBT_SMALL 8.0
+#define SMALL_SHARE 5
 #define EJECT_DOUBT_AFTER 4.0 /* after a timely trial: three late attempts eject again */
 #define EJECT_ERRORS 3 /* in a row */
 /* Other workloads slow a server for seconds: a longer ejection would outlast the cause. */
@@ -22,6 +28,14 @@
 	return (s->n_ejected + 1) * EJECT_PART <= s->n_targets;
 }
 
+/* Doubt at which a target is ejected. */
+static double doubt_limit(const struct cs_target *t)
+{
+	unsigned share = t->share[POOL_SMALL] + t->share[POOL_BULK];
+
+	return share <= SMALL_SHARE ? EJECT_DOUBT_SMALL : EJECT_DOUBT;
+}
+
 static void eject(struct cs_policy *p, struct cs_target *t, uint64_t now_us)
 {
 	if (!t->ejected) {
@@ -66,7 +80,7 @@
 {
 	if (t->ejected)
 		return;
-	if (latency_doubt(t, now_us) >= EJECT_DOUBT || t->errors_in_row >= EJECT_ERRORS)
+	if (latency_doubt(t, now_us) >= doubt_limit(t) || t->errors_in_row >= EJECT_ERRORS)
 		eject(p, t, now_us);
 }
 
@@ -85,7 +99,7 @@
 
 bool eject_wanted(struct cs_target *t, uint64_t now_us)
 {
-	return !t->ejected && latency_doubt(t, now_us) >= EJECT_DOUBT;
+	return !t->ejected && latency_doubt(t, now_us) >= doubt_limit(t);
 }
 
 bool eject_blocks(const struct cs_target *t, uint64_t now_us)
