--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,9 @@
 LDLIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lm
 LDFLAGS += $(SAN)
 
-LIBS := base model wire policy store http bus link
+LIBS := base model wire policy store http bus link proxy steer
 lib_src := $(foreach l,$(LIBS),$(wildcard lib/$(l)/*.c))
+platform_obj := $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
 lib_obj := $(lib_src:%.c=$(BUILD)/%.o)
 lib_ar := $(BUILD)/libcassia.a
 
@@ -35,7 +36,8 @@
 name_ctl := cassiactl
 name_load := cassia-load
 name_check := cassia-check
-PROGS := lookupd proxyd agentd ctl load check
+name_node := cassia-node
+PROGS := lookupd proxyd agentd ctl load check node
 STANDINS := $(notdir $(patsubst %/,%,$(wildcard tests/standins/*/)))
 TESTS := $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/test-*.c))
 BENCHES := $(patsubst tests/bench/%.c,%,$(wildcard tests/bench/bench-*.c))
@@ -45,10 +47,12 @@
 test_bins := $(TESTS:%=$(BUILD)/tests/%)
 bench_bins := $(BENCHES:%=$(BUILD)/tests/%)
 
-.PHONY: all deps check unit lint format demo bench prove clean install tests
+.PHONY: all node deps check unit lint format demo bench prove clean install tests
 .DEFAULT_GOAL := all
 
 all: $(bins) $(standin_bins)
+# The program for the users' platform alone (deploy/system.toml).
+node: $(BUILD)/bin/cassia-node
 tests: all $(test_bins) $(bench_bins)
 
 $(lib_ar): $(lib_obj)
@@ -60,8 +64,11 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
+# Objects of a program besides its own folder.
+more_node := $(platform_obj)
+
 define prog_rule
-$(BUILD)/bin/$(name_$(1)): $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard src/$(1)/*.c)) $(lib_ar)
+$(BUILD)/bin/$(name_$(1)): $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard src/$(1)/*.c)) $$(more_$(1)) $(lib_ar)
 	@mkdir -p $$(@D)
 	$$(CC) $$(LDFLAGS) -o $$@ $$^ $$(LDLIBS)
 endef
--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -23,6 +23,7 @@
 
 static size_t on_body(char *data, size_t size, size_t n, void *arg);
 static size_t on_header(char *data, size_t size, size_t n, void *arg);
+static int on_socket(void *arg, curl_socket_t fd, curlsocktype purpose);
 static void on_done(CURL *easy, CURLcode code, void *arg);
 
 static void fetch_free(struct cs_fetch *f)
@@ -56,6 +57,7 @@
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, f);
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, f);
+	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
 	if (opts->interface != NULL)
 		curl_easy_setopt(e, CURLOPT_INTERFACE, opts->interface);
 	if (opts->body != NULL) {
@@ -119,6 +121,12 @@
 	return len;
 }
 
+static int on_socket(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+	cs_sock_liveness(fd);
+	return CURL_SOCKOPT_OK;
+}
+
 static void on_done(CURL *easy, CURLcode code, void *arg)
 {
 	struct cs_fetch *f = arg;
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -20,6 +20,11 @@
 void cs_mhd_kick(struct cs_mhd *m);
 /* Opens a non-blocking listening TCP socket; port 0 takes a free one. Returns -1 and a message. */
 int cs_listen(const char *addr, uint16_t port, uint16_t *bound, struct cs_msg *msg);
+/*
+ * Has the kernel end a connection whose peer neither acknowledges nor answers probes for some
+ * seconds, as after a partition or a loss of power.
+ */
+void cs_sock_liveness(int fd);
 /* Text form of the connection's peer address. */
 void cs_mhd_peer(struct MHD_Connection *conn, char *out, size_t size);
 
--- a/lib/http/mhd.c
+++ b/lib/http/mhd.c
@@ -11,6 +11,11 @@
 #include "http/http.h"
 
 #define LISTEN_BACKLOG 1024
+/* A connection that stays silent to probes, or does not acknowledge, for this long is dead. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
+#define UNACKNOWLEDGED_MS 2500
 
 struct cs_mhd {
 	struct ev_loop *loop;
@@ -133,6 +138,18 @@
 	return fd;
 }
 
+void cs_sock_liveness(int fd)
+{
+	int one = 1, idle = KEEPALIVE_IDLE_S, interval = KEEPALIVE_INTERVAL_S;
+	int probes = KEEPALIVE_PROBES, unacknowledged = UNACKNOWLEDGED_MS;
+
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof(unacknowledged));
+}
+
 void cs_mhd_peer(struct MHD_Connection *conn, char *out, size_t size)
 {
 	const union MHD_ConnectionInfo *info =
--- a/src/proxyd/head.c
+++ b/lib/proxy/head.c
@@ -5,7 +5,7 @@
 #include <strings.h>
 
 #include "base/base.h"
-#include "src/proxyd/head.h"
+#include "proxy/head.h"
 
 #define METHOD_MAX 16
 #define FIRST_SIZE 1024
--- a/src/proxyd/head.h
+++ b/lib/proxy/head.h
@@ -1,6 +1,6 @@
 /* head: header lines of one message in one block of memory, and the rules for which pass on. */
-#ifndef PROXYD_HEAD_H
-#define PROXYD_HEAD_H
+#ifndef CS_PROXY_HEAD_H
+#define CS_PROXY_HEAD_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/proxyd/linger.c
+++ b/lib/proxy/linger.c
@@ -1,16 +1,10 @@
-/*
- * Answers that come before the end of the request's body. Closing a socket with unread input makes
- * the kernel reset the connection, and the caller may lose the answer. A duplicate of the
- * descriptor keeps the connection open and is read until the caller has closed its side.
- */
+/* Reads and drops input of connections that are about to be closed. */
 #include <errno.h>
-#include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "src/proxyd/proxyd.h"
+#include "proxy/linger.h"
 
 #define LINGER_US (3 * CS_US_PER_S)
 #define LINGER_MAX 256 /* connections; more are closed at once */
@@ -19,24 +13,55 @@
 
 struct discard {
 	LIST_ENTRY(discard) entry;
-	struct proxyd *proxyd;
+	struct cs_lingers *owner;
 	ev_io io;
 	struct cs_timer timeout;
 	int fd;
 };
 
+struct cs_lingers {
+	struct ev_loop *loop;
+	struct cs_timers *timers;
+	LIST_HEAD(, discard) list;
+	unsigned n;
+};
+
+static void on_timeout(struct cs_timer *t, void *arg);
+static void on_input(struct ev_loop *loop, ev_io *w, int events);
+
+struct cs_lingers *cs_lingers_create(struct ev_loop *loop, struct cs_timers *ts)
+{
+	struct cs_lingers *ls = cs_xcalloc(1, sizeof(*ls));
+
+	ls->loop = loop;
+	ls->timers = ts;
+	LIST_INIT(&ls->list);
+	return ls;
+}
+
 static void linger_destroy(struct discard *l)
 {
-	struct proxyd *p = l->proxyd;
+	struct cs_lingers *ls = l->owner;
 
-	ev_io_stop(p->loop, &l->io);
+	ev_io_stop(ls->loop, &l->io);
 	cs_timer_stop(&l->timeout);
 	LIST_REMOVE(l, entry);
-	p->n_lingers--;
+	ls->n--;
 	close(l->fd);
 	free(l);
 }
 
+void cs_lingers_destroy(struct cs_lingers *ls)
+{
+	struct discard *l;
+
+	if (ls == NULL)
+		return;
+	while ((l = LIST_FIRST(&ls->list)) != NULL)
+		linger_destroy(l);
+	free(ls);
+}
+
 static void on_timeout(struct cs_timer *t, void *arg)
 {
 	linger_destroy(arg);
@@ -55,31 +80,23 @@
 		linger_destroy(l);
 }
 
-void linger_start(struct proxyd *p, int fd)
+void cs_linger(struct cs_lingers *ls, int fd)
 {
 	struct discard *l;
 
-	if (p->n_lingers >= LINGER_MAX)
+	if (ls->n >= LINGER_MAX)
 		return;
 	fd = dup(fd);
 	if (fd < 0)
 		return;
 	l = cs_xcalloc(1, sizeof(*l));
-	l->proxyd = p;
+	l->owner = ls;
 	l->fd = fd;
 	ev_io_init(&l->io, on_input, fd, EV_READ);
 	l->io.data = l;
-	ev_io_start(p->loop, &l->io);
+	ev_io_start(ls->loop, &l->io);
 	cs_timer_init(&l->timeout, on_timeout, l);
-	cs_timer_start(p->timers, &l->timeout, LINGER_US);
-	LIST_INSERT_HEAD(&p->lingers, l, entry);
-	p->n_lingers++;
-}
-
-void lingers_stop(struct proxyd *p)
-{
-	struct discard *l, *next;
-
-	LIST_FOREACH_SAFE(l, &p->lingers, entry, next)
-		linger_destroy(l);
+	cs_timer_start(ls->timers, &l->timeout, LINGER_US);
+	LIST_INSERT_HEAD(&ls->list, l, entry);
+	ls->n++;
 }
--- a/src/proxyd/ring.c
+++ b/lib/proxy/ring.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "base/base.h"
-#include "src/proxyd/ring.h"
+#include "proxy/ring.h"
 
 #define FIRST_SIZE 4096
 
--- a/src/proxyd/ring.h
+++ b/lib/proxy/ring.h
@@ -2,8 +2,8 @@
  * ring: bounded byte buffer between two connections. What was read stays in place until new bytes
  * need the room, so that a body not larger than the buffer can be read again for a second attempt.
  */
-#ifndef PROXYD_RING_H
-#define PROXYD_RING_H
+#ifndef CS_PROXY_RING_H
+#define CS_PROXY_RING_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/proxyd/sockets.c
+++ b/lib/proxy/sockets.c
@@ -7,12 +7,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "src/proxyd/sockets.h"
+#include "proxy/sockets.h"
 
 struct entry {
 	RB_ENTRY(entry) by_key;
 	LIST_ENTRY(entry) by_fd;
 	uint64_t key;
+	uint64_t used_us;
 	int fd;
 };
 
@@ -78,6 +79,7 @@
 
 	e->key = key;
 	e->fd = fd;
+	e->used_us = cs_mono_us();
 	old = RB_FIND(entry_tree, &s->tree, e);
 	if (old != NULL)
 		entry_remove(s, old);
@@ -92,6 +94,24 @@
 	return e ? e->fd : -1;
 }
 
+int sockets_find_idle(struct sockets *s, uint64_t key, uint64_t *idle_us)
+{
+	struct entry probe = {.key = key}, *e = RB_FIND(entry_tree, &s->tree, &probe);
+
+	if (e == NULL)
+		return -1;
+	*idle_us = cs_mono_us() - e->used_us;
+	return e->fd;
+}
+
+void sockets_touch(struct sockets *s, uint64_t key)
+{
+	struct entry probe = {.key = key}, *e = RB_FIND(entry_tree, &s->tree, &probe);
+
+	if (e != NULL)
+		e->used_us = cs_mono_us();
+}
+
 void sockets_closed(struct sockets *s, int fd)
 {
 	struct entry *e, *next;
--- /dev/null
+++ b/lib/steer/feed.h
@@ -0,0 +1,55 @@
+/*
+ * feed: when to read and when to watch a store with revisions and a bounded history, and what a
+ * vanished entry means. Pure: answers and a clock in, the next step out.
+ */
+#ifndef CS_STEER_FEED_H
+#define CS_STEER_FEED_H
+
+#include "base/base.h"
+
+enum cs_feed_kind {
+	CS_FEED_PAUSE, /* do nothing until until_us */
+	CS_FEED_READ, /* read the next page of all items */
+	CS_FEED_WATCH /* wait for changes after a revision */
+};
+
+struct cs_feed_step {
+	enum cs_feed_kind kind;
+	uint64_t until_us; /* PAUSE */
+	bool first; /* READ: first page */
+	uint64_t after; /* WATCH: revision */
+};
+
+struct cs_feed {
+	bool reading; /* pages are being read */
+	bool page_open; /* the first page was taken */
+	uint64_t page_revision; /* of the first page: pages are no snapshot */
+	bool known; /* a whole reading was taken at least once */
+	uint64_t revision;
+	uint64_t pause_until_us;
+	unsigned failures; /* in a row */
+	uint64_t answered_us; /* last answer */
+	uint64_t away_until_us; /* entries that lapsed while the store was away may return */
+	uint64_t asked_us; /* last step other than PAUSE */
+	struct cs_rng rng;
+};
+
+void cs_feed_init(struct cs_feed *f, uint64_t seed, uint64_t now_us);
+void cs_feed_next(struct cs_feed *f, uint64_t now_us, struct cs_feed_step *out);
+/* A page was read. True if the reading is complete. */
+bool cs_feed_read(struct cs_feed *f, uint64_t at, bool more, uint64_t now_us);
+/* A watch answered, with or without events. */
+void cs_feed_watched(struct cs_feed *f, uint64_t at, unsigned n_events, uint64_t now_us);
+/* The history before the revision is gone. */
+void cs_feed_history_lost(struct cs_feed *f, uint64_t now_us);
+/* A call failed or got no answer. */
+void cs_feed_failed(struct cs_feed *f, uint64_t now_us);
+/* How long a server stays usable whose entry is found missing now, in us. */
+uint64_t cs_feed_keep_us(const struct cs_feed *f, uint64_t now_us);
+/* True while the store does not answer. */
+static inline bool cs_feed_is_away(const struct cs_feed *f)
+{
+	return f->failures > 0;
+}
+
+#endif
--- /dev/null
+++ b/lib/steer/servers.c
@@ -0,0 +1,305 @@
+/* Table of backend servers: entries, evacuations, usable capacity. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "steer/steer-int.h"
+
+/* A doubtful server is asked again after this time. */
+#define PROBE_PERIOD_US (300 * CS_US_PER_MS)
+/* A change of usable slots by more than this part is a loss or gain of servers. */
+#define CAPACITY_STEP 0.02
+
+static int id_cmp(struct cs_backend *a, struct cs_backend *b);
+static int key_cmp(struct cs_backend *a, struct cs_backend *b);
+
+CS_RB_GENERATE(backend_ids, cs_backend, by_id, id_cmp)
+CS_RB_GENERATE(backend_keys, cs_backend, by_key, key_cmp)
+
+static int id_cmp(struct cs_backend *a, struct cs_backend *b)
+{
+	return strcmp(a->said.id, b->said.id);
+}
+
+static int key_cmp(struct cs_backend *a, struct cs_backend *b)
+{
+	if (a->key != b->key)
+		return a->key < b->key ? -1 : 1;
+	return 0;
+}
+
+const char *cs_backend_id(const struct cs_backend *b)
+{
+	return b->said.id;
+}
+
+const char *cs_backend_zone(const struct cs_backend *b)
+{
+	return b->said.zone;
+}
+
+const char *cs_backend_addr(const struct cs_backend *b)
+{
+	return b->said.addr;
+}
+
+uint16_t cs_backend_port(const struct cs_backend *b)
+{
+	return b->said.port;
+}
+
+const char *cs_backend_health_path(const struct cs_steer *s, const struct cs_backend *b)
+{
+	const struct cs_service_def *def = s->doc ? cs_document_service(s->doc, b->service->name)
+						  : NULL;
+
+	return def != NULL ? def->health_path : "/";
+}
+
+static struct cs_backend *find_id(struct cs_steer *s, const char *id)
+{
+	struct cs_backend probe;
+
+	cs_copy(probe.said.id, sizeof(probe.said.id), id);
+	return RB_FIND(backend_ids, &s->ids, &probe);
+}
+
+struct cs_backend *servers_by_key(struct cs_steer *s, uint32_t key)
+{
+	struct cs_backend probe = {.key = key};
+
+	return RB_FIND(backend_keys, &s->keys, &probe);
+}
+
+static struct cs_backend *backend_create(struct cs_steer *s, const struct cs_server_entry *e,
+					 unsigned zone)
+{
+	struct cs_backend *b = cs_xcalloc(1, sizeof(*b));
+
+	b->said = *e;
+	b->key = (uint32_t)cs_hash_str(e->id, 0);
+	b->zone = zone;
+	b->region = s->zone_region[zone];
+	b->service = steer_service(s, e->service, true);
+	b->slow = 1;
+	TAILQ_INSERT_TAIL(&b->service->backends, b, entry);
+	RB_INSERT(backend_ids, &s->ids, b);
+	RB_INSERT(backend_keys, &s->keys, b);
+	s->n_backends++;
+	return b;
+}
+
+static void backend_free(struct cs_steer *s, struct cs_backend *b)
+{
+	TAILQ_REMOVE(&b->service->backends, b, entry);
+	RB_REMOVE(backend_ids, &s->ids, b);
+	if (servers_by_key(s, b->key) == b)
+		RB_REMOVE(backend_keys, &s->keys, b);
+	s->n_backends--;
+	free(b);
+}
+
+/* A new process under a known id: what was known of the former one says nothing. */
+static void backend_reborn(struct cs_backend *b)
+{
+	b->slow = 1;
+	b->errors = 0;
+	b->load_us = 0;
+	b->backoff_until_us = 0;
+	b->backoff_step = 0;
+}
+
+/* Moves a server to the list of another service. */
+static void backend_move(struct cs_steer *s, struct cs_backend *b, const char *service)
+{
+	TAILQ_REMOVE(&b->service->backends, b, entry);
+	b->service = steer_service(s, service, true);
+	TAILQ_INSERT_TAIL(&b->service->backends, b, entry);
+}
+
+void cs_steer_server(struct cs_steer *s, const struct cs_server_entry *e, uint64_t now_us)
+{
+	struct cs_backend *b = find_id(s, e->id);
+	int zone = steer_zone(s, e->zone);
+
+	/* A zone that the settings do not name cannot be placed. */
+	if (zone < 0) {
+		if (b != NULL)
+			cs_steer_server_gone(s, e->id, now_us);
+		return;
+	}
+	if (b == NULL)
+		b = backend_create(s, e, (unsigned)zone);
+	else if (b->said.born_ms != e->born_ms)
+		backend_reborn(b);
+	if (strcmp(b->service->name, e->service) != 0)
+		backend_move(s, b, e->service);
+	b->said = *e;
+	b->zone = (unsigned)zone;
+	b->region = s->zone_region[zone];
+	b->listed = b->named = true;
+	/* An entry is the server's own word. */
+	if (!s->evacuated[zone])
+		b->doubtful = false;
+	if (e->cold_ms > 0)
+		cs_steer_cold(s, b, e->cold_ms, now_us);
+}
+
+void cs_steer_server_gone(struct cs_steer *s, const char *id, uint64_t now_us)
+{
+	struct cs_backend *b = find_id(s, id);
+
+	if (b == NULL)
+		return;
+	b->listed = false;
+	b->gone_us = now_us;
+}
+
+void cs_steer_reading_begin(struct cs_steer *s)
+{
+	struct cs_backend *b;
+
+	RB_FOREACH(b, backend_ids, &s->ids)
+		b->named = false;
+}
+
+void cs_steer_reading_end(struct cs_steer *s, uint64_t keep_us, uint64_t now_us)
+{
+	struct cs_backend *b;
+
+	RB_FOREACH(b, backend_ids, &s->ids) {
+		if (b->named || !b->listed)
+			continue;
+		b->listed = false;
+		b->gone_us = now_us + keep_us;
+	}
+}
+
+void cs_steer_server_lapsed(struct cs_steer *s, const char *id, uint64_t keep_us, uint64_t now_us)
+{
+	struct cs_backend *b = find_id(s, id);
+
+	if (b == NULL || !b->listed)
+		return;
+	b->listed = false;
+	b->gone_us = now_us + keep_us;
+}
+
+void cs_steer_evacuate(struct cs_steer *s, const char *zone, bool on, uint64_t now_us)
+{
+	int i = steer_zone(s, zone);
+	struct cs_backend *b;
+
+	if (i < 0 || s->evacuated[i] == on)
+		return;
+	s->evacuated[i] = on;
+	/* Its servers are often cold after an evacuation, and their entries may be older. */
+	RB_FOREACH(b, backend_ids, &s->ids)
+		if (b->zone == (unsigned)i)
+			backend_doubt(b, now_us);
+}
+
+unsigned cs_steer_servers(const struct cs_steer *s)
+{
+	const struct cs_steer_service *svc;
+	const struct cs_backend *b;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(svc, &s->services, entry)
+		TAILQ_FOREACH(b, &svc->backends, entry)
+			n += b->listed && !b->said.draining;
+	return n;
+}
+
+unsigned backend_slots(const struct cs_backend *b)
+{
+	if (b->load_us > 0 && b->load.slots > 0)
+		return b->load.slots;
+	return b->said.slots > 0 ? b->said.slots : 1;
+}
+
+bool backend_in_service(const struct cs_steer *s, const struct cs_backend *b, uint64_t now_us)
+{
+	if (b->said.draining || s->evacuated[b->zone] || b->doubtful)
+		return false;
+	return b->listed || now_us < b->gone_us;
+}
+
+bool backend_usable(const struct cs_steer *s, const struct cs_backend *b, uint64_t now_us)
+{
+	return backend_in_service(s, b, now_us) && now_us >= b->backoff_until_us;
+}
+
+void backend_doubt(struct cs_backend *b, uint64_t now_us)
+{
+	if (b->doubtful)
+		return;
+	b->doubtful = true;
+	b->probe_us = now_us;
+}
+
+struct cs_backend *cs_steer_probe_next(struct cs_steer *s, uint64_t now_us)
+{
+	struct cs_backend *b;
+
+	RB_FOREACH(b, backend_ids, &s->ids) {
+		if (!b->doubtful || b->probing || now_us < b->probe_us)
+			continue;
+		if (s->evacuated[b->zone] || b->said.draining || !b->listed)
+			continue;
+		b->probing = true;
+		b->in_flight++; /* keeps it from being freed */
+		b->probe_us = now_us + PROBE_PERIOD_US;
+		return b;
+	}
+	return NULL;
+}
+
+void cs_steer_probed(struct cs_steer *s, struct cs_backend *b, bool ok, unsigned cold_ms,
+		     uint64_t now_us)
+{
+	b->probing = false;
+	b->in_flight--;
+	if (!ok)
+		return;
+	b->doubtful = false;
+	if (cold_ms > 0)
+		cs_steer_cold(s, b, cold_ms, now_us);
+}
+
+void cs_steer_cold(struct cs_steer *s, struct cs_backend *b, unsigned cold_ms, uint64_t now_us)
+{
+	uint64_t until = now_us + cold_ms * CS_US_PER_MS;
+
+	if (until > b->cold_until_us)
+		b->cold_until_us = until;
+}
+
+void servers_sweep(struct cs_steer *s, uint64_t now_us)
+{
+	struct cs_backend *b, *next;
+
+	RB_FOREACH_SAFE(b, backend_ids, &s->ids, next)
+		if (!b->listed && now_us >= b->gone_us && b->in_flight == 0)
+			backend_free(s, b);
+}
+
+void servers_capacity(struct cs_steer *s, uint64_t now_us)
+{
+	struct cs_steer_service *svc;
+	struct cs_backend *b;
+	double sum[CS_REGIONS_MAX];
+	unsigned i;
+
+	TAILQ_FOREACH(svc, &s->services, entry) {
+		memset(sum, 0, sizeof(sum));
+		TAILQ_FOREACH(b, &svc->backends, entry)
+			if (backend_in_service(s, b, now_us) && !limits_is_cold(b, now_us))
+				sum[b->region] += backend_slots(b);
+		for (i = 0; i < s->n_regions; i++) {
+			if (sum[i] < svc->capacity[i] * (1 - CAPACITY_STEP) ||
+			    sum[i] > svc->capacity[i] * (1 + CAPACITY_STEP))
+				svc->capacity_changed_us = now_us;
+			svc->capacity[i] = sum[i];
+		}
+	}
+}
--- /dev/null
+++ b/lib/steer/steer.c
@@ -0,0 +1,268 @@
+/* Creation, the document in force and the start of a request. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "steer/steer-int.h"
+
+/* Time of work that is assumed before any answer was seen. */
+#define FIRST_WORK_US (400 * CS_US_PER_MS)
+/* A request whose time budget is below this part of the route's longest is a caller's second try. */
+#define RETURNED_PART 0.97
+/* Used when neither caller nor route states a limit. */
+#define DEFAULT_DEADLINE_US (10 * CS_US_PER_S)
+
+static const char *const reason_names[] = {"no_server", "overload", "deadline", "budget",
+					   "attempts"};
+
+const char *cs_steer_reason_name(enum cs_steer_reason r)
+{
+	return reason_names[r];
+}
+
+void steer_smooth(double *v, double sample, double weight)
+{
+	*v += (sample - *v) * weight;
+}
+
+int steer_zone(const struct cs_steer *s, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < s->n_zones; i++)
+		if (strcmp(s->zones[i].name, name) == 0)
+			return (int)i;
+	return -1;
+}
+
+/* Index of a region, added if it is new. */
+static unsigned region_add(struct cs_steer *s, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < s->n_regions; i++)
+		if (strcmp(s->regions[i], name) == 0)
+			return i;
+	if (s->n_regions == CS_REGIONS_MAX)
+		return CS_REGIONS_MAX - 1;
+	cs_copy(s->regions[s->n_regions], CS_NAME_MAX, name);
+	return s->n_regions++;
+}
+
+struct cs_steer *cs_steer_create(const struct cs_steer_opts *opts, uint64_t now_us)
+{
+	struct cs_steer *s = cs_xcalloc(1, sizeof(*s));
+	unsigned i;
+	int own;
+
+	s->opts = *opts;
+	s->opts.zones = NULL;
+	for (i = 0; i < opts->n_zones && i < CS_ZONES_MAX; i++) {
+		s->zones[i] = opts->zones[i];
+		s->zone_region[i] = region_add(s, opts->zones[i].region);
+		s->n_zones++;
+	}
+	own = steer_zone(s, opts->zone);
+	s->zone = own >= 0 ? (unsigned)own : 0;
+	s->region = s->n_zones > 0 ? s->zone_region[s->zone] : 0;
+	s->key = (uint32_t)cs_hash_str(opts->instance, 0);
+	TAILQ_INIT(&s->services);
+	TAILQ_INIT(&s->members);
+	RB_INIT(&s->ids);
+	RB_INIT(&s->keys);
+	cs_rng_seed(&s->rng, opts->seed);
+	s->started_us = s->tick_us = now_us;
+	s->most_members = 1;
+	return s;
+}
+
+void cs_steer_destroy(struct cs_steer *s)
+{
+	struct cs_steer_service *svc;
+	struct cs_backend *b;
+	struct member *m;
+
+	if (s == NULL)
+		return;
+	while ((svc = TAILQ_FIRST(&s->services)) != NULL) {
+		while ((b = TAILQ_FIRST(&svc->backends)) != NULL) {
+			TAILQ_REMOVE(&svc->backends, b, entry);
+			free(b);
+		}
+		TAILQ_REMOVE(&s->services, svc, entry);
+		free(svc);
+	}
+	while ((m = TAILQ_FIRST(&s->members)) != NULL) {
+		TAILQ_REMOVE(&s->members, m, entry);
+		free(m);
+	}
+	cs_document_destroy(s->doc);
+	free(s->routes);
+	free(s);
+}
+
+void cs_steer_bounds(struct cs_steer *s, const struct cs_steer_bounds *bounds)
+{
+	s->opts.bounds = *bounds;
+}
+
+struct cs_steer_service *steer_service(struct cs_steer *s, const char *name, bool create)
+{
+	struct cs_steer_service *svc;
+
+	TAILQ_FOREACH(svc, &s->services, entry)
+		if (strcmp(svc->name, name) == 0)
+			return svc;
+	if (!create)
+		return NULL;
+	svc = cs_xcalloc(1, sizeof(*svc));
+	cs_copy(svc->name, sizeof(svc->name), name);
+	svc->key = (uint32_t)cs_hash_str(name, 0);
+	svc->work_us = FIRST_WORK_US;
+	TAILQ_INIT(&svc->backends);
+	TAILQ_INIT(&svc->waiting);
+	TAILQ_INSERT_TAIL(&s->services, svc, entry);
+	return svc;
+}
+
+/* Takes over what was learned of a route of the same name. */
+static void route_carry(const struct cs_steer *s, const struct cs_route *r, struct route_state *to)
+{
+	unsigned i;
+
+	for (i = 0; s->doc != NULL && i < s->doc->n_routes; i++) {
+		if (strcmp(s->doc->routes[i].name, r->name) != 0)
+			continue;
+		to->work_us = s->routes[i].work_us;
+		to->max_budget_ms = s->routes[i].max_budget_ms;
+		return;
+	}
+}
+
+bool cs_steer_document(struct cs_steer *s, struct cs_document *doc, uint64_t now_us)
+{
+	struct route_state *routes;
+	unsigned i;
+
+	if (s->doc != NULL && doc->version <= s->doc->version) {
+		cs_document_destroy(doc);
+		return false;
+	}
+	routes = cs_xcalloc(doc->n_routes, sizeof(*routes));
+	for (i = 0; i < doc->n_routes; i++)
+		route_carry(s, &doc->routes[i], &routes[i]);
+	cs_document_destroy(s->doc);
+	free(s->routes);
+	s->doc = doc;
+	s->routes = routes;
+	for (i = 0; i < doc->n_services; i++)
+		steer_service(s, doc->services[i].name, true);
+	return true;
+}
+
+const struct cs_document *cs_steer_current(const struct cs_steer *s)
+{
+	return s->doc;
+}
+
+/*
+ * Part of a split that is furthest behind its weight. Counting instead of drawing keeps each part
+ * within one request of its weight at every instance.
+ */
+static unsigned split_draw(struct route_state *st, const struct cs_route *r)
+{
+	double sum = 0;
+	unsigned i, best = 0;
+
+	if (r->n_parts <= 1)
+		return 0;
+	for (i = 0; i < r->n_parts; i++)
+		sum += r->parts[i].weight;
+	for (i = 0; i < r->n_parts; i++) {
+		st->debt[i] += r->parts[i].weight / sum;
+		if (st->debt[i] > st->debt[best])
+			best = i;
+	}
+	st->debt[best] -= 1;
+	return best;
+}
+
+/* Regions that the route's homes allow; all if it names none. */
+static uint64_t home_mask(const struct cs_steer *s, const struct cs_route *r)
+{
+	uint64_t mask = 0;
+	unsigned i, k;
+
+	if (r->n_homes == 0)
+		return UINT64_MAX;
+	for (i = 0; i < r->n_homes; i++)
+		for (k = 0; k < s->n_regions; k++)
+			if (strcmp(r->homes[i], s->regions[k]) == 0)
+				mask |= 1ULL << k;
+	return mask;
+}
+
+/* A caller's second try has less time left than its first had. */
+static bool is_returned(struct route_state *st, unsigned budget_ms)
+{
+	if (budget_ms == 0)
+		return false;
+	if (budget_ms >= st->max_budget_ms) {
+		st->max_budget_ms = budget_ms;
+		return false;
+	}
+	return budget_ms < st->max_budget_ms * RETURNED_PART;
+}
+
+double steer_work(const struct cs_steer *s, const struct cs_steer_ask *ask)
+{
+	const struct cs_steer_service *svc;
+
+	if (s->doc != NULL && ask->version == s->doc->version && s->routes[ask->route].work_us > 0)
+		return s->routes[ask->route].work_us;
+	TAILQ_FOREACH(svc, &s->services, entry)
+		if (strcmp(svc->name, ask->service) == 0)
+			return svc->work_us;
+	return FIRST_WORK_US;
+}
+
+void cs_steer_begin(struct cs_steer *s, struct cs_steer_ask *ask, const struct cs_route *route,
+		    unsigned budget_ms, uint64_t now_us)
+{
+	ptrdiff_t i = route - s->doc->routes;
+	struct route_state *st = &s->routes[i];
+	struct cs_steer_service *svc;
+	unsigned ms = budget_ms;
+
+	ask->arrived_us = now_us;
+	if (route->timeout_ms > 0 && (ms == 0 || route->timeout_ms < ms))
+		ms = route->timeout_ms;
+	ask->deadline_us = now_us + (ms > 0 ? ms * CS_US_PER_MS : DEFAULT_DEADLINE_US);
+	cs_copy(ask->service, sizeof(ask->service), route->parts[split_draw(st, route)].service);
+	ask->priority = route->priority;
+	ask->target_ms = route->target_ms;
+	ask->max_attempts = route->max_attempts;
+	ask->sticky = route->sticky;
+	ask->home_mask = home_mask(s, route);
+	ask->returned = is_returned(st, budget_ms);
+	ask->route = (unsigned)i;
+	ask->version = s->doc->version;
+	ask->region = -1;
+	svc = steer_service(s, ask->service, true);
+	svc->arrivals++;
+	window_add(&svc->requests, now_us);
+}
+
+void cs_steer_tick(struct cs_steer *s, uint64_t now_us)
+{
+	uint64_t elapsed = now_us - s->tick_us;
+	struct cs_steer_service *svc;
+
+	if (elapsed == 0)
+		return;
+	s->tick_us = now_us;
+	servers_sweep(s, now_us);
+	members_sum(s, now_us);
+	servers_capacity(s, now_us);
+	TAILQ_FOREACH(svc, &s->services, entry)
+		regions_plan(s, svc, elapsed, now_us);
+}
--- /dev/null
+++ b/src/node/front.c
@@ -0,0 +1,308 @@
+/* Callers' side: checks of a new request, header lines for servers, answers. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "src/node/node.h"
+
+/* Descriptors kept for servers, the store and other instances; the rest is for callers. */
+#define DESCRIPTORS_OTHER 1500
+/* Idle time of callers' connections before a document states one. */
+#define IDLE_DEFAULT_S 30
+/* Time to come back for callers of an instance that knows no document yet. */
+#define NOT_READY_RETRY_MS 300
+/* Lines added to the caller's, and their bytes. */
+#define OWN_LINES 4
+#define OWN_BYTES 128
+
+static void on_begin(struct cs_call *call, void *arg);
+static size_t on_body(struct cs_call *call, const char *data, size_t n, void *arg);
+static void on_body_end(struct cs_call *call, void *arg);
+static void on_gone(struct cs_call *call, void *arg);
+static ssize_t on_read(struct cs_call *call, char *buf, size_t max, void *arg);
+static void on_done(struct cs_call *call, void *arg);
+
+static const struct cs_ingress_ops ops = {.begin = on_begin,
+					  .body = on_body,
+					  .body_end = on_body_end,
+					  .gone = on_gone,
+					  .read = on_read,
+					  .done = on_done};
+
+bool front_start(struct node *n, struct cs_msg *msg)
+{
+	unsigned all = n->settings.descriptors;
+	struct cs_ingress_opts opts = {
+		.addr = n->settings.front.addr,
+		.port = n->settings.front.port,
+		.connections = all > 2 * DESCRIPTORS_OTHER ? all - DESCRIPTORS_OTHER : all / 2,
+		.idle_s = IDLE_DEFAULT_S,
+		.ops = &ops,
+		.arg = n};
+
+	n->front = cs_ingress_create(n->loop, n->timers, &opts, msg);
+	return n->front != NULL;
+}
+
+/* First pass over a caller's header lines. */
+struct scan {
+	size_t bytes;
+	unsigned n;
+	const char *connection;
+	bool bad; /* a value that cannot be passed on */
+};
+
+static bool scan_line(const char *name, const char *value, void *arg)
+{
+	struct scan *s = arg;
+
+	s->bytes += strlen(name) + strlen(value) + 4;
+	s->n++;
+	if (strcasecmp(name, "Connection") == 0)
+		s->connection = value;
+	if (*name == '\0' || !check_value(value))
+		s->bad = true;
+	return true;
+}
+
+/* Second pass: lines for libcurl, one after another in one block. */
+struct writer {
+	const char *connection;
+	struct curl_slist *next;
+	char *at;
+	bool has_type, has_accept;
+};
+
+/* Headers that are set for each send. */
+static bool is_own(const char *name)
+{
+	return strcasecmp(name, PLATFORM_H_DEADLINE) == 0 ||
+	       strcasecmp(name, PLATFORM_H_EXPECTED_SERVER) == 0 ||
+	       strcasecmp(name, "Content-Length") == 0;
+}
+
+/* Appends "name: value"; libcurl sends an empty value only for "name;" and drops "name:". */
+static void put_line(struct writer *w, const char *name, const char *separator, const char *value)
+{
+	w->next->data = w->at;
+	w->at = stpcpy(stpcpy(stpcpy(w->at, name), separator), value) + 1;
+	w->next->next = w->next + 1;
+	w->next++;
+}
+
+static bool write_line(const char *name, const char *value, void *arg)
+{
+	struct writer *w = arg;
+
+	if (head_is_hop(name) || is_own(name))
+		return true;
+	if (w->connection != NULL && head_list_has(w->connection, name))
+		return true;
+	w->has_type = w->has_type || strcasecmp(name, "Content-Type") == 0;
+	w->has_accept = w->has_accept || strcasecmp(name, "Accept") == 0;
+	put_line(w, name, *value ? ": " : ";", value);
+	return true;
+}
+
+static void build_lines(struct request *req, const struct scan *s)
+{
+	size_t slots = (s->n + OWN_LINES) * sizeof(struct curl_slist);
+	struct writer w = {.connection = s->connection};
+
+	req->lines = cs_xcalloc(1, slots + s->bytes + OWN_BYTES);
+	w.next = req->lines;
+	w.at = (char *)req->lines + slots;
+	cs_call_headers(req->call, write_line, &w);
+	put_line(&w, "Expect", ":", "");
+	if (!w.has_accept)
+		put_line(&w, "Accept", ":", "");
+	if (!w.has_type)
+		put_line(&w, "Content-Type", ":", "");
+	(w.next - 1)->next = NULL;
+}
+
+/* How long the caller waits, in ms; 0 if not stated. False if it cannot be read. */
+static bool read_deadline(struct cs_call *call, unsigned *ms)
+{
+	const char *text = cs_call_header(call, PLATFORM_H_DEADLINE);
+
+	*ms = 0;
+	return text == NULL || check_deadline(text, ms);
+}
+
+/* False if the length is malformed; libmicrohttpd does the framing itself. */
+static bool read_framing(struct request *req)
+{
+	const char *length = cs_call_header(req->call, "Content-Length");
+	char *end;
+
+	if (cs_call_header(req->call, "Transfer-Encoding") != NULL) {
+		req->has_body = true;
+		req->content_length = UINT64_MAX;
+		return length == NULL;
+	}
+	if (length == NULL)
+		return true;
+	if (*length < '0' || *length > '9')
+		return false;
+	req->content_length = strtoull(length, &end, 10);
+	req->has_body = req->content_length > 0;
+	return *end == '\0';
+}
+
+/* Selects the route; false after answering. */
+static bool select_route(struct request *req, unsigned budget_ms)
+{
+	struct node *n = req->node;
+	const struct cs_document *doc = cs_steer_current(n->steer);
+	const char *host = cs_call_header(req->call, "Host");
+	const char *object = cs_call_cookie(req->call, PLATFORM_COOKIE_OBJECT);
+	const struct cs_route *r;
+	uint64_t now = cs_mono_us();
+
+	if (doc == NULL || !feed_known(n->feed)) {
+		(*n->stats.not_ready)++;
+		front_error(req, 503, "not_ready", NOT_READY_RETRY_MS);
+		return false;
+	}
+	r = host ? cs_document_route(doc, host, cs_call_target(req->call)) : NULL;
+	if (r == NULL) {
+		(*n->stats.no_route)++;
+		front_error(req, 404, "no_route", 0);
+		return false;
+	}
+	cs_copy(req->route, sizeof(req->route), r->name);
+	req->repeat = r->repeat;
+	req->ask.object = object != NULL ? cs_hash_str(object, 0) : 0;
+	req->ask.arg = req;
+	cs_steer_begin(n->steer, &req->ask, r, budget_ms, now);
+	req->caller_deadline_us = budget_ms > 0 ? now + budget_ms * CS_US_PER_MS : 0;
+	return true;
+}
+
+static void on_begin(struct cs_call *call, void *arg)
+{
+	struct node *n = arg;
+	struct request *req = request_create(n, call);
+	const char *id = cs_call_header(call, PLATFORM_H_REQUEST_ID);
+	struct scan s = {.n = 0};
+	unsigned budget_ms;
+
+	cs_call_set(call, req);
+	if (id != NULL)
+		cs_copy(req->id, sizeof(req->id), id);
+	cs_call_headers(call, scan_line, &s);
+	if (s.bad || !read_framing(req) || !read_deadline(call, &budget_ms) ||
+	    !check_target(cs_call_target(call)) || !check_method(cs_call_method(call))) {
+		front_error(req, 400, "bad_request", 0);
+		return;
+	}
+	if (!select_route(req, budget_ms))
+		return;
+	build_lines(req, &s);
+	request_start(req);
+}
+
+static size_t on_body(struct cs_call *call, const char *data, size_t n, void *arg)
+{
+	return request_body(cs_call_get(call), data, n);
+}
+
+static void on_body_end(struct cs_call *call, void *arg)
+{
+	request_body_end(cs_call_get(call));
+}
+
+static void on_gone(struct cs_call *call, void *arg)
+{
+	request_gone(cs_call_get(call));
+}
+
+static void on_done(struct cs_call *call, void *arg)
+{
+	request_destroy(cs_call_get(call));
+}
+
+/* The caller's connection can take more of a streamed answer. */
+static ssize_t on_read(struct cs_call *call, char *buf, size_t max, void *arg)
+{
+	struct request *req = cs_call_get(call);
+	struct send *s = req->winner;
+	size_t n;
+
+	if (s == NULL)
+		return CS_READ_BROKEN;
+	n = ring_get(cs_transfer_data(s->transfer), buf, max);
+	if (n > 0) {
+		cs_transfer_taken(s->transfer);
+		return (ssize_t)n;
+	}
+	switch (cs_transfer_state(s->transfer)) {
+	case CS_TRANSFER_WHOLE:
+		return CS_READ_END;
+	case CS_TRANSFER_BROKEN:
+	case CS_TRANSFER_UNSENT:
+		return CS_READ_BROKEN;
+	case CS_TRANSFER_SENT:
+	case CS_TRANSFER_HEAD:
+		break;
+	}
+	return CS_READ_NONE;
+}
+
+void front_error(struct request *req, unsigned status, const char *error, unsigned retry_after_ms)
+{
+	struct head lines = {0};
+	char body[128], text[24];
+	int n;
+
+	n = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", error);
+	head_add(&lines, "Content-Type", 12, "application/json", 16);
+	if (*req->id != '\0')
+		head_add(&lines, PLATFORM_H_REQUEST_ID, strlen(PLATFORM_H_REQUEST_ID), req->id,
+			 strlen(req->id));
+	if (retry_after_ms > 0) {
+		snprintf(text, sizeof(text), "%.3f", retry_after_ms / 1000.0);
+		head_add(&lines, "Retry-After", 11, text, strlen(text));
+	}
+	req->stage = STAGE_ANSWER;
+	req->status = status;
+	cs_call_answer(req->call, status, &lines, body, (size_t)n);
+	head_free(&lines);
+}
+
+/* The server's header lines without those of one connection and of framing. */
+static void copy_lines(const struct head *from, struct head *to)
+{
+	const char *connection = head_get(from, "Connection"), *name, *value;
+	size_t at = 0;
+
+	while (head_next(from, &at, &name, &value)) {
+		if (head_is_hop(name) || strcasecmp(name, "Content-Length") == 0)
+			continue;
+		if (connection != NULL && head_list_has(connection, name))
+			continue;
+		head_add(to, name, strlen(name), value, strlen(value));
+	}
+}
+
+void front_pass(struct request *req, struct send *s)
+{
+	struct cs_transfer *t = s->transfer;
+	struct ring *data = cs_transfer_data(t);
+	struct head lines = {0};
+	bool until_close;
+
+	copy_lines(cs_transfer_head(t), &lines);
+	req->stage = STAGE_ANSWER;
+	req->status = cs_transfer_status(t);
+	if (cs_transfer_state(t) == CS_TRANSFER_WHOLE && ring_whole(data)) {
+		cs_call_answer(req->call, req->status, &lines, data->data ? data->data : "",
+			       ring_used(data));
+	} else {
+		until_close = cs_transfer_framing(t) == CS_FRAMING_CLOSE;
+		cs_call_stream(req->call, req->status, &lines, cs_transfer_length(t), until_close);
+	}
+	head_free(&lines);
+}
--- /dev/null
+++ b/src/node/probe.c
@@ -0,0 +1,96 @@
+/* Asks servers whose own word is needed before they are used again. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/node/node.h"
+
+#define PROBE_TIMEOUT_MS 1000L
+
+struct probe {
+	struct node *node;
+	struct cs_backend *backend;
+	struct cs_transfer *transfer;
+	char server[CS_NAME_MAX];
+	char expected_line[96];
+	struct curl_slist lines[2];
+	struct cs_timer timeout;
+};
+
+static void on_news(struct cs_transfer *t, void *arg);
+static void on_want(struct cs_transfer *t, void *arg);
+static void on_timeout(struct cs_timer *t, void *arg);
+
+static void probe_start(struct node *n, struct cs_backend *b)
+{
+	struct probe *p = cs_xcalloc(1, sizeof(*p));
+	struct cs_transfer_opts opts = {.addr = cs_backend_addr(b),
+					.port = cs_backend_port(b),
+					.method = "GET",
+					.target = cs_backend_health_path(n->steer, b),
+					.lines = p->lines,
+					.buffer_max = ANSWER_WHOLE_MAX};
+
+	p->node = n;
+	p->backend = b;
+	cs_copy(p->server, sizeof(p->server), cs_backend_id(b));
+	snprintf(p->expected_line, sizeof(p->expected_line), PLATFORM_H_EXPECTED_SERVER ": %s",
+		 p->server);
+	p->lines[0] = (struct curl_slist){p->expected_line, NULL};
+	cs_timer_init(&p->timeout, on_timeout, p);
+	cs_timer_start(n->timers, &p->timeout, PROBE_TIMEOUT_MS * CS_US_PER_MS);
+	(*n->stats.probes)++;
+	p->transfer = cs_transfer_start(n->lanes, &opts, on_news, on_want, p);
+}
+
+void probe_due(struct node *n)
+{
+	struct cs_backend *b;
+
+	while ((b = cs_steer_probe_next(n->steer, cs_mono_us())) != NULL)
+		probe_start(n, b);
+}
+
+static void probe_end(struct probe *p, bool ok, unsigned cold_ms)
+{
+	struct node *n = p->node;
+
+	cs_event(n->events, CS_EVENT_KEEP, "server.probed", "server=%s ok=%d cold_ms=%u status=%u",
+		 p->server, ok, cold_ms, cs_transfer_status(p->transfer));
+	cs_steer_probed(n->steer, p->backend, ok, cold_ms, cs_mono_us());
+	cs_timer_stop(&p->timeout);
+	cs_transfer_destroy(p->transfer);
+	free(p);
+}
+
+static void on_news(struct cs_transfer *t, void *arg)
+{
+	struct probe *p = arg;
+	const char *server, *cold;
+	bool ok;
+
+	switch (cs_transfer_state(t)) {
+	case CS_TRANSFER_SENT:
+	case CS_TRANSFER_HEAD:
+		return;
+	case CS_TRANSFER_UNSENT:
+	case CS_TRANSFER_BROKEN:
+		probe_end(p, false, 0);
+		return;
+	case CS_TRANSFER_WHOLE:
+		break;
+	}
+	server = head_get(cs_transfer_head(t), PLATFORM_H_SERVER_ID);
+	cold = head_get(cs_transfer_head(t), PLATFORM_H_COLD);
+	ok = cs_transfer_status(t) == 200 && server != NULL && strcmp(server, p->server) == 0;
+	probe_end(p, ok, cold != NULL ? (unsigned)strtoul(cold, NULL, 10) : 0);
+}
+
+static void on_want(struct cs_transfer *t, void *arg)
+{
+}
+
+static void on_timeout(struct cs_timer *t, void *arg)
+{
+	probe_end(arg, false, 0);
+}
--- /dev/null
+++ b/src/node/stats.c
@@ -0,0 +1,65 @@
+/* Counters of cassia-node. */
+#include "src/node/node.h"
+
+void stats_init(struct node_stats *s)
+{
+	struct cs_metrics *m = cs_metrics_create();
+
+	s->metrics = m;
+	s->requests =
+		cs_metrics_counter(m, "cassia_node_requests_total", "", "Requests of callers");
+	s->ok = cs_metrics_counter(m, "cassia_node_ok_total", "", "Answered by a server, not 5xx");
+	s->late = cs_metrics_counter(m, "cassia_node_late_total", "",
+				     "Of those, later than the route's latency target");
+	s->failed = cs_metrics_counter(m, "cassia_node_failed_total", "",
+				       "Ended with 5xx other than a refusal");
+	s->refused = cs_metrics_counter(m, "cassia_node_refused_total", "",
+					"Refused as not run, with a time to come back");
+	s->gone = cs_metrics_counter(m, "cassia_node_gone_total", "", "Left by their caller");
+	s->no_route = cs_metrics_counter(m, "cassia_node_no_route_total", "",
+					 "No route matched host and path");
+	s->not_ready = cs_metrics_counter(m, "cassia_node_not_ready_total", "",
+					  "Refused before a document was known");
+	s->sends = cs_metrics_counter(m, "cassia_node_sends_total", "", "Sends to servers");
+	s->repeats = cs_metrics_counter(m, "cassia_node_repeats_total", "",
+					"Sends beyond the first of a request, hedges included");
+	s->hedges = cs_metrics_counter(m, "cassia_node_hedges_total", "",
+				       "Second sends beside a slow first one");
+	s->sheds = cs_metrics_counter(m, "cassia_node_sheds_total", "",
+				      "Sends that the server refused to run");
+	s->misdirected = cs_metrics_counter(m, "cassia_node_misdirected_total", "",
+					    "Sends that reached another server");
+	s->unsent =
+		cs_metrics_counter(m, "cassia_node_unsent_total", "", "Sends without a connection");
+	s->broken = cs_metrics_counter(m, "cassia_node_broken_total", "",
+				       "Sends that may have run without a usable answer, or 5xx");
+	s->cancelled = cs_metrics_counter(m, "cassia_node_cancelled_total", "",
+					  "Sends ended by this side");
+	s->probes = cs_metrics_counter(m, "cassia_node_probes_total", "",
+				       "Calls of servers' health paths");
+	s->store_failures = cs_metrics_counter(m, "cassia_node_store_failures_total", "",
+					       "Calls of the store without a usable answer");
+	s->reports_in = cs_metrics_counter(m, "cassia_node_reports_in_total", "",
+					   "Reports of other instances");
+	s->reports_out = cs_metrics_counter(m, "cassia_node_reports_out_total", "",
+					    "Reports sent to other instances");
+	s->latency = cs_metrics_hist(m, "cassia_node_latency_us", "",
+				     "Time from a request's head to its answer");
+	s->wait = cs_metrics_hist(m, "cassia_node_wait_us", "",
+				  "Time from a request's head to a send");
+	s->ready = cs_metrics_gauge(m, "cassia_node_ready", "", "1 if callers may come");
+	s->members = cs_metrics_gauge(m, "cassia_node_members", "",
+				      "Instances heard lately, this one included");
+	s->servers = cs_metrics_gauge(m, "cassia_node_servers", "",
+				      "Servers with an entry that do not drain");
+	s->document =
+		cs_metrics_gauge(m, "cassia_node_document", "", "Version of the document in force");
+	s->in_flight = cs_metrics_gauge(m, "cassia_node_in_flight", "", "Requests of callers now");
+	s->store_away = cs_metrics_gauge(m, "cassia_node_store_away", "",
+					 "1 while the store does not answer");
+}
+
+void stats_free(struct node_stats *s)
+{
+	cs_metrics_destroy(s->metrics);
+}
--- a/src/proxyd/main.c
+++ b/src/proxyd/main.c
@@ -113,11 +113,11 @@
 
 	p->loop = ev_default_loop(EVFLAG_AUTO);
 	p->timers = cs_timers_create(p->loop);
+	p->lingers = cs_lingers_create(p->loop, p->timers);
 	TAILQ_INIT(&p->requests);
 	TAILQ_INIT(&p->work);
 	TAILQ_INIT(&p->pool);
 	LIST_INIT(&p->conns);
-	LIST_INIT(&p->lingers);
 	cs_copy(opts.instance, sizeof(opts.instance), p->instance);
 	cs_copy(opts.zone, sizeof(opts.zone), p->zone);
 	opts.choice = (enum cs_choice)cs_setting_int(settings, "choice");
@@ -153,7 +153,7 @@
 	unsigned i;
 
 	server_stop(p);
-	lingers_stop(p);
+	cs_lingers_destroy(p->lingers);
 	if (p->link != NULL)
 		view_stop(p);
 	attempts_free(p);
--- a/src/proxyd/outcome.h
+++ b/src/proxyd/outcome.h
@@ -6,7 +6,7 @@
 #define PROXYD_OUTCOME_H
 
 #include "base/base.h"
-#include "src/proxyd/head.h"
+#include "proxy/head.h"
 
 #define OUTCOME_KEEP_US (60 * CS_US_PER_S)
 #define OUTCOME_ENTRIES_MAX 65536
--- a/src/proxyd/proxyd.h
+++ b/src/proxyd/proxyd.h
@@ -10,10 +10,11 @@
 #include "http/http.h"
 #include "link/link.h"
 #include "policy/policy.h"
-#include "src/proxyd/head.h"
+#include "proxy/head.h"
+#include "proxy/linger.h"
 #include "src/proxyd/outcome.h"
-#include "src/proxyd/ring.h"
-#include "src/proxyd/sockets.h"
+#include "proxy/ring.h"
+#include "proxy/sockets.h"
 #include "src/proxyd/stats.h"
 
 /* Bodies and answers of at most this size are held whole; larger ones stream through it. */
@@ -187,8 +188,8 @@
 	TAILQ_HEAD(, request) work;
 	TAILQ_HEAD(, attempt) pool;
 	LIST_HEAD(, conn) conns;
-	LIST_HEAD(, discard) lingers;
-	unsigned n_pool, n_conns, n_requests, n_lingers;
+	struct cs_lingers *lingers;
+	unsigned n_pool, n_conns, n_requests;
 	struct cs_rng ids; /* of request ids; a system call for each would be slow */
 	bool pump; /* waiting requests may go on */
 	struct cs_timer retry;
@@ -286,10 +287,6 @@
 /* stop.c */
 void stop_watch(struct proxyd *p);
 
-/* linger.c: discards what a caller still sends after its answer. */
-void linger_start(struct proxyd *p, int fd);
-void lingers_stop(struct proxyd *p);
-
 /* hangup.c: finds out that a caller left while MHD does not watch its connection. */
 struct hangup *hangup_create(struct ev_loop *loop);
 void hangup_destroy(struct hangup *h);
--- a/src/proxyd/server.c
+++ b/src/proxyd/server.c
@@ -238,7 +238,7 @@
 	if (req == NULL)
 		return;
 	if (req->early && req->conn != NULL)
-		linger_start(req->proxyd, req->conn->fd);
+		cs_linger(req->proxyd->lingers, req->conn->fd);
 	else if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
 		req->gone = true;
 	if (req->conn != NULL)
--- a/tests/unit/test-proxyd.c
+++ b/tests/unit/test-proxyd.c
@@ -6,10 +6,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "src/proxyd/head.h"
+#include "proxy/head.h"
 #include "src/proxyd/outcome.h"
-#include "src/proxyd/ring.h"
-#include "src/proxyd/sockets.h"
+#include "proxy/ring.h"
+#include "proxy/sockets.h"
 
 /* Guards against bytes that are lost, repeated or out of order when the buffer grows and wraps. */
 static void test_ring_order(void)
