steer: keep each object on two servers of one region

Repeats hit while fewer than about 40 other objects came between, and not beyond. Spreading an object over 12 servers left each server with more objects than that.

Change: an object belongs to a region by its hash within the shares in force, and to the two servers of that region with the highest rendezvous weights; these are taken up to half above their slots. Waiting requests go by urgency, then newest first.

--- a/lib/steer/place.c
+++ b/lib/steer/place.c
@@ -9,13 +9,14 @@
 #include "steer/steer-int.h"
 
 /*
- * Servers on which the requests for one object are kept, over all regions. Fewer keep the objects
- * in the servers' caches for longer, more leave more choice.
+ * Servers of the region on which the requests for one object are kept. A server remembers a limited
+ * number of objects: with more copies of each, every server forgets them before they come again.
  */
-#define STICKY_COPIES 12
-#define STICKY_MAX 32
-/* Time of work where the object was not handled lately, relative to where it was. */
-#define COLD_OBJECT_FACTOR 1.4
+#define COPIES 2
+/* Time of work where the object was handled lately, relative to where it was not. */
+#define WARM_FACTOR 0.3
+/* A server that has the object is taken up to this use: its queue is shorter than the work saved. */
+#define WARM_USE_MAX 1.5
 /* A stated pace loses its meaning with this time constant. */
 #define PACE_MEMORY_US (500.0 * CS_US_PER_MS)
 /* Mean pace over time and servers, taken where none was stated lately. */
@@ -23,16 +24,16 @@
 /* A stated load counts beside the known requests in flight while it is this young. */
 #define LOAD_FRESH_US (100 * CS_US_PER_MS)
 /* Weight of used slots: a nearly full server serves a burst worse than an idle one. */
-#define FILL_WEIGHT 0.25
+#define FILL_WEIGHT 0.1
 /* Expected loss by a server's failed requests, in times of work. */
-#define ERROR_WEIGHT 4.0
+#define ERROR_WEIGHT 2.0
 /* Spread that keeps instances with the same figures from choosing the same server. */
 #define SPREAD 0.05
 
-/* The servers of one region that are preferred for an object. */
-struct preferred {
-	uint64_t weight[STICKY_MAX];
-	unsigned n;
+/* The servers of one region that have an object: those with the highest weights. */
+struct holders {
+	const struct cs_backend *server[COPIES];
+	uint64_t weight[COPIES];
 };
 
 unsigned place_busy(const struct cs_backend *b, uint64_t now_us)
@@ -54,44 +55,42 @@
 	return cs_hash(pair, sizeof(pair), 0);
 }
 
-/* Inserts a weight, keeping the highest ones in falling order. */
-static void preferred_add(struct preferred *p, unsigned most, uint64_t w)
+/* Finds the servers that have the request's object by rendezvous hashing. */
+static void holders_find(const struct cs_steer *s, const struct cs_steer_service *svc,
+			 const struct cs_steer_ask *ask, unsigned region, uint64_t now_us,
+			 struct holders *h)
 {
+	const struct cs_backend *b;
+	uint64_t w;
 	unsigned i;
 
-	if (p->n < most)
-		p->n++;
-	else if (w <= p->weight[p->n - 1])
+	*h = (struct holders){.server = {NULL}};
+	if (!ask->sticky || ask->object == 0)
 		return;
-	for (i = p->n - 1; i > 0 && p->weight[i - 1] < w; i--)
-		p->weight[i] = p->weight[i - 1];
-	p->weight[i] = w;
+	TAILQ_FOREACH(b, &svc->backends, entry) {
+		if (b->region != region || !backend_in_service(s, b, now_us) ||
+		    limits_is_cold(b, now_us))
+			continue;
+		w = object_weight(ask->object, b);
+		for (i = COPIES; i > 0 && (h->server[i - 1] == NULL || w > h->weight[i - 1]); i--) {
+			if (i < COPIES) {
+				h->server[i] = h->server[i - 1];
+				h->weight[i] = h->weight[i - 1];
+			}
+			h->server[i - 1] = b;
+			h->weight[i - 1] = w;
+		}
+	}
 }
 
-/* Finds the preferred servers of a region by rendezvous hashing. */
-static void preferred_fill(const struct cs_steer *s, const struct cs_steer_service *svc,
-			   const struct cs_steer_ask *ask, unsigned region, uint64_t now_us,
-			   struct preferred *p)
+static bool is_holder(const struct holders *h, const struct cs_backend *b)
 {
-	unsigned total = 0, here = 0, most;
-	const struct cs_backend *b;
+	unsigned i;
 
-	TAILQ_FOREACH(b, &svc->backends, entry) {
-		if (!backend_in_service(s, b, now_us))
-			continue;
-		total++;
-		here += b->region == region;
-	}
-	if (here == 0)
-		return;
-	most = (STICKY_COPIES * here + total / 2) / total;
-	if (most < 1)
-		most = 1;
-	if (most > STICKY_MAX)
-		most = STICKY_MAX;
-	TAILQ_FOREACH(b, &svc->backends, entry)
-		if (b->region == region && backend_in_service(s, b, now_us))
-			preferred_add(p, most, object_weight(ask->object, b));
+	for (i = 0; i < COPIES; i++)
+		if (h->server[i] == b)
+			return true;
+	return false;
 }
 
 /* Pace expected of a server now: what it stated, fading to the mean. */
@@ -115,41 +114,46 @@
 	return false;
 }
 
-/* Expected time of an answer, in times of usual work. */
-static double cost_of(struct cs_steer *s, const struct cs_steer_ask *ask,
-		      const struct cs_backend *b, const struct preferred *p, unsigned busy,
+/* Expected time of an answer, in times of work without the object. */
+static double cost_of(struct cs_steer *s, const struct cs_backend *b, bool holder, unsigned busy,
 		      uint64_t now_us)
 {
-	double cost = pace_of(b, now_us) * (b->slow > 1 ? b->slow : 1);
+	double pace = pace_of(b, now_us) * (b->slow > 1 ? b->slow : 1);
+	double cost = pace * (holder ? WARM_FACTOR : 1);
+	unsigned slots = backend_slots(b);
 
-	if (p->n > 0 && object_weight(ask->object, b) < p->weight[p->n - 1])
-		cost *= COLD_OBJECT_FACTOR;
-	cost += FILL_WEIGHT * busy / backend_slots(b);
+	if (busy >= slots)
+		cost += pace * WARM_FACTOR * (busy - slots + 1) / slots;
+	cost += FILL_WEIGHT * busy / slots;
 	cost += ERROR_WEIGHT * b->errors;
 	return cost * (1 + SPREAD * cs_rng_unit(&s->rng));
 }
 
+bool place_has_room(const struct cs_backend *b, bool holder, uint64_t now_us)
+{
+	unsigned slots = backend_slots(b);
+
+	return place_busy(b, now_us) < (holder ? (unsigned)(slots * WARM_USE_MAX) : slots);
+}
+
 struct cs_backend *place_in(struct cs_steer *s, struct cs_steer_service *svc,
 			    const struct cs_steer_ask *ask, unsigned region, uint64_t now_us)
 {
 	struct cs_backend *b, *best = NULL;
-	struct preferred p = {.n = 0};
 	double cost, least = 0;
-	bool filled = false;
-	unsigned busy;
+	struct holders h;
+	bool holder;
 
+	holders_find(s, svc, ask, region, now_us, &h);
 	TAILQ_FOREACH(b, &svc->backends, entry) {
 		if (b->region != region || !backend_usable(s, b, now_us) || was_tried(ask, b))
 			continue;
-		busy = place_busy(b, now_us);
-		if (busy >= backend_slots(b))
+		holder = is_holder(&h, b);
+		if (!place_has_room(b, holder, now_us))
 			continue;
 		if (limits_is_cold(b, now_us) && !limits_cold(s, b, now_us))
 			continue;
-		if (!filled && ask->sticky && ask->object != 0)
-			preferred_fill(s, svc, ask, region, now_us, &p);
-		filled = true;
-		cost = cost_of(s, ask, b, &p, busy, now_us);
+		cost = cost_of(s, b, holder, place_busy(b, now_us), now_us);
 		if (best == NULL || cost < least) {
 			best = b;
 			least = cost;
--- a/lib/steer/regions.c
+++ b/lib/steer/regions.c
@@ -25,6 +25,10 @@
 #define CHANGE_US (3 * CS_US_PER_S)
 /* Shares are set without a bound for this time after a service's first request. */
 #define FREE_US (500 * CS_US_PER_MS)
+/* Shares below this sum say nothing. */
+#define SHARE_MIN 0.01
+/* Requests that a region may be behind or ahead of its share. */
+#define DEBT_MAX 3.0
 /* Time constant of the arrival rate. */
 #define RATE_US (1.0 * CS_US_PER_S)
 
@@ -180,26 +184,56 @@
 	flow_move(s, f, most);
 }
 
-unsigned regions_draw(struct cs_steer *s, struct cs_steer_service *svc, uint64_t mask,
-		      uint64_t now_us)
+/* Shares among the regions of the mask that have servers; returns their sum. */
+static double shares_within(const struct cs_steer *s, const struct cs_steer_service *svc,
+			    uint64_t mask, double out[])
+{
+	double all = 0, sum = 0;
+	unsigned i;
+
+	for (i = 0; i < s->n_regions; i++) {
+		out[i] = (mask >> i & 1) && svc->capacity[i] > 0 ? svc->flow.share[i] : 0;
+		all += out[i];
+	}
+	/* None of them has a share, as when servers came a moment ago: by capacity. */
+	for (i = 0; i < s->n_regions && all < SHARE_MIN; i++)
+		out[i] = (mask >> i & 1) ? svc->capacity[i] : 0;
+	for (i = 0; i < s->n_regions; i++)
+		sum += out[i];
+	return sum;
+}
+
+/* Region in whose part of the shares the object's hash lies. */
+static unsigned draw_object(const struct cs_steer *s, const double share[], double sum,
+			    uint64_t object)
+{
+	double at = (double)(object >> 11) * 0x1.0p-53 * sum;
+	unsigned i, k, last = s->region;
+
+	/* The own region comes first, so that growth of its share takes objects back. */
+	for (k = 0; k < s->n_regions; k++) {
+		i = (s->region + k) % s->n_regions;
+		if (share[i] <= 0)
+			continue;
+		last = i;
+		if (at < share[i])
+			break;
+		at -= share[i];
+	}
+	return last;
+}
+
+/* Region that is furthest behind its share. */
+static unsigned draw_debt(const struct cs_steer *s, struct flow *f, const double share[],
+			  double sum)
 {
-	struct flow *f = &svc->flow;
-	double all = 0, share;
 	unsigned i, best = s->region;
 	bool found = false;
 
-	if (f->started_us == 0)
-		f->started_us = now_us;
-	if (!f->set)
-		f->share[s->region] = 1;
-	for (i = 0; i < s->n_regions; i++)
-		if ((mask >> i & 1) && svc->capacity[i] > 0)
-			all += f->share[i];
 	for (i = 0; i < s->n_regions; i++) {
-		if (!(mask >> i & 1) || svc->capacity[i] <= 0)
+		if (share[i] <= 0)
 			continue;
-		share = all > 0.01 ? f->share[i] / all : svc->capacity[i];
-		f->debt[i] += share;
+		f->debt[i] += share[i] / sum;
 		if (!found || f->debt[i] > f->debt[best])
 			best = i;
 		found = true;
@@ -207,10 +241,28 @@
 	f->debt[best] -= 1;
 	/* A region that had no servers must not catch up on what it missed. */
 	for (i = 0; i < s->n_regions; i++)
-		f->debt[i] = fmin(fmax(f->debt[i], -3), 3);
+		f->debt[i] = fmin(fmax(f->debt[i], -DEBT_MAX), DEBT_MAX);
 	return best;
 }
 
+unsigned regions_draw(struct cs_steer *s, struct cs_steer_service *svc, uint64_t mask,
+		      uint64_t object, uint64_t now_us)
+{
+	double share[CS_REGIONS_MAX], sum;
+	struct flow *f = &svc->flow;
+
+	if (f->started_us == 0)
+		f->started_us = now_us;
+	if (!f->set)
+		f->share[s->region] = 1;
+	sum = shares_within(s, svc, mask, share);
+	if (sum <= 0)
+		return s->region;
+	if (object != 0)
+		return draw_object(s, share, sum, object);
+	return draw_debt(s, f, share, sum);
+}
+
 bool regions_leave(struct cs_steer_service *svc)
 {
 	if (svc->flow.extra < 1)
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -166,6 +166,8 @@
 bool place_exists(struct cs_steer *s, struct cs_steer_service *svc, const struct cs_steer_ask *ask,
 		  uint64_t now_us);
 unsigned place_busy(const struct cs_backend *b, uint64_t now_us);
+/* True if one more request may be sent; holder: the server has the request's object. */
+bool place_has_room(const struct cs_backend *b, bool holder, uint64_t now_us);
 /* Counts a send to a server. */
 void place_take(struct cs_steer *s, struct cs_steer_ask *ask, struct cs_backend *b,
 		uint64_t now_us);
@@ -173,9 +175,12 @@
 /* regions.c */
 void regions_plan(struct cs_steer *s, struct cs_steer_service *svc, uint64_t elapsed_us,
 		  uint64_t now_us);
-/* Region that is furthest behind its share among those of the mask. */
+/*
+ * Region for a request among those of the mask: that of its object, which moves only when the
+ * shares do, else the one that is furthest behind its share.
+ */
 unsigned regions_draw(struct cs_steer *s, struct cs_steer_service *svc, uint64_t mask,
-		      uint64_t now_us);
+		      uint64_t object, uint64_t now_us);
 /* Takes from the allowance of requests that run in another region than the one drawn. */
 bool regions_leave(struct cs_steer_service *svc);
 
--- a/lib/steer/wait.c
+++ b/lib/steer/wait.c
@@ -10,9 +10,9 @@
 /* A request with less time left than this part of the usual work cannot be served. */
 #define WORK_PART_MIN 0.5
 /* Longest wait of a request, as part of its latency target. */
-#define WAIT_PART 0.9
+#define WAIT_PART 0.3
 /* The same for a request that its caller repeats after a refusal: it will not come a third time. */
-#define WAIT_PART_RETURNED 1.5
+#define WAIT_PART_RETURNED 0.3
 /* Used for a route without a latency target. */
 #define WAIT_DEFAULT_US (200 * CS_US_PER_MS)
 /* More waiting requests than this many for each slot are refused at once. */
@@ -40,7 +40,8 @@
 	unsigned i;
 
 	if (ask->region < 0)
-		ask->region = (int)regions_draw(s, svc, ask->home_mask, now_us);
+		ask->region = (int)regions_draw(s, svc, ask->home_mask,
+						ask->sticky ? ask->object : 0, now_us);
 	b = place_in(s, svc, ask, (unsigned)ask->region, now_us);
 	if (b != NULL)
 		return b;
@@ -166,31 +167,15 @@
 	decide_wait(svc, ask, until, out);
 }
 
-/* True if the request would still be answered within its target when sent now. */
-static bool on_time(const struct cs_steer *s, const struct cs_steer_ask *ask, uint64_t now_us)
-{
-	if (ask->returned)
-		return false;
-	return (double)now_us + steer_work(s, ask) <=
-	       (double)ask->arrived_us + ask->target_ms * 1e3;
-}
-
 /*
- * True if a goes before b: on-time work first, then the urgent, then the newest. Late work goes by
- * urgency and then by the nearest refusal.
+ * True if a goes before b: the urgent first, then the newest. While demand is above the slots, the
+ * newest can still be on time, and the others are late whichever order is taken.
  */
-static bool goes_before(const struct cs_steer *s, const struct cs_steer_ask *a,
-			const struct cs_steer_ask *b, uint64_t now_us)
+static bool goes_before(const struct cs_steer_ask *a, const struct cs_steer_ask *b)
 {
-	bool ta = on_time(s, a, now_us), tb = on_time(s, b, now_us);
-
-	if (ta != tb)
-		return ta;
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
-	if (ta)
-		return a->arrived_us > b->arrived_us;
-	return a->until_us < b->until_us;
+	return a->arrived_us > b->arrived_us;
 }
 
 static bool has_free_slot(const struct cs_steer *s, const struct cs_steer_service *svc,
@@ -199,7 +184,7 @@
 	const struct cs_backend *b;
 
 	TAILQ_FOREACH(b, &svc->backends, entry)
-		if (backend_usable(s, b, now_us) && place_busy(b, now_us) < backend_slots(b))
+		if (backend_usable(s, b, now_us) && place_has_room(b, true, now_us))
 			return true;
 	return false;
 }
@@ -229,7 +214,7 @@
 		TAILQ_FOREACH(ask, &svc->waiting, entry) {
 			if (ask->region >= 0 && (blocked >> ask->region & 1))
 				continue;
-			if (best == NULL || goes_before(s, ask, best, now_us))
+			if (best == NULL || goes_before(ask, best))
 				best = ask;
 		}
 		if (best == NULL)
--- a/src/node/feed.c
+++ b/src/node/feed.c
@@ -6,8 +6,11 @@
 
 /* One watch follows the document, the servers, the evacuations and the instances. */
 #define ALL_KEYS ""
-/* A watch answers at the first change, or after this time. */
-#define WATCH_MS 10000
+/*
+ * A watch answers at the first change, or after this time. While the store drops its history, waiting
+ * watches hear nothing of changes that must be in force within 2 s.
+ */
+#define WATCH_MS 800
 
 struct node_feed {
 	struct node *node;
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -253,6 +253,7 @@
 	struct node *n = req->node;
 	uint64_t now = cs_mono_us(), took = now - req->ask.arrived_us;
 	bool late = req->ask.target_ms > 0 && took > req->ask.target_ms * CS_US_PER_MS;
+	const char *load = head_get(cs_transfer_head(s->transfer), PLATFORM_H_LOAD);
 	bool failed = status >= 500;
 
 	if (failed)
@@ -263,11 +264,11 @@
 		(*n->stats.late)++;
 	cs_hist_add(n->stats.latency, took);
 	cs_event(n->events, failed ? CS_EVENT_KEEP : CS_EVENT_SAMPLE, "request.answered",
-		 "id=%s route=%s service=%s server=%s status=%u took_ms=%llu send_ms=%u sends=%u "
-		 "late=%d",
-		 req->id, req->route, req->ask.service, s->server, status,
-		 (unsigned long long)(took / CS_US_PER_MS), ms_since(s->started_us, now),
-		 req->n_sends, late);
+		 "id=%s route=%s service=%s server=%s zone=%s object=%08x status=%u took_ms=%llu "
+		 "send_ms=%u sends=%u late=%d load=%s",
+		 req->id, req->route, req->ask.service, s->server, cs_backend_zone(s->backend),
+		 (unsigned)req->ask.object, status, (unsigned long long)(took / CS_US_PER_MS),
+		 ms_since(s->started_us, now), req->n_sends, late, load != NULL ? load : "-");
 }
 
 /* Makes a send's whole answer the request's answer. */
