steer: keep requests inside their home regions when these have no server

Cause: with no usable slot in any home region, the draw fell back to the instance's own region, and the choice of server did not look at the homes again.

Ruled out: an old document (the log shows version 17 in force before the request).

Change: the draw falls back to a region that the route allows, and a request is never placed in a region that its homes exclude. The owner of a cold server is noted on each tick, so that its hold does not begin with the first request.

Tests: /steer/home/* and /steer/cold/rate failed before.

--- a/lib/steer/limits.c
+++ b/lib/steer/limits.c
@@ -105,15 +105,20 @@
 	return rate * COLD_RATE_PART;
 }
 
-bool limits_cold(struct cs_steer *s, struct cs_backend *b, uint64_t now_us)
+void limits_cold_owner(struct cs_steer *s, struct cs_backend *b, uint64_t now_us)
 {
 	uint32_t owner = owner_of(s, b, now_us);
 
-	if (owner != b->cold_owner) {
-		b->cold_owner = owner;
-		b->cold_owner_us = now_us;
-	}
-	if (owner != s->key || now_us - b->cold_owner_us < COLD_OWNER_HOLD_US)
+	if (owner == b->cold_owner)
+		return;
+	b->cold_owner = owner;
+	b->cold_owner_us = now_us;
+}
+
+bool limits_cold(struct cs_steer *s, struct cs_backend *b, uint64_t now_us)
+{
+	limits_cold_owner(s, b, now_us);
+	if (b->cold_owner != s->key || now_us - b->cold_owner_us < COLD_OWNER_HOLD_US)
 		return false;
 	if (now_us - b->cold_second_us >= CS_US_PER_S)
 		return true;
--- a/lib/steer/regions.c
+++ b/lib/steer/regions.c
@@ -245,6 +245,19 @@
 	return best;
 }
 
+/* No region of the mask has a server: the own one if it is allowed, else any that is. */
+static unsigned first_allowed(const struct cs_steer *s, uint64_t mask)
+{
+	unsigned i;
+
+	if (mask >> s->region & 1)
+		return s->region;
+	for (i = 0; i < s->n_regions; i++)
+		if (mask >> i & 1)
+			return i;
+	return s->region;
+}
+
 unsigned regions_draw(struct cs_steer *s, struct cs_steer_service *svc, uint64_t mask,
 		      uint64_t object, uint64_t now_us)
 {
@@ -257,7 +270,7 @@
 		f->share[s->region] = 1;
 	sum = shares_within(s, svc, mask, share);
 	if (sum <= 0)
-		return s->region;
+		return first_allowed(s, mask);
 	if (object != 0)
 		return draw_object(s, share, sum, object);
 	return draw_debt(s, f, share, sum);
--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -292,9 +292,12 @@
 
 	TAILQ_FOREACH(svc, &s->services, entry) {
 		memset(sum, 0, sizeof(sum));
-		TAILQ_FOREACH(b, &svc->backends, entry)
-			if (backend_in_service(s, b, now_us) && !limits_is_cold(b, now_us))
+		TAILQ_FOREACH(b, &svc->backends, entry) {
+			if (limits_is_cold(b, now_us))
+				limits_cold_owner(s, b, now_us);
+			else if (backend_in_service(s, b, now_us))
 				sum[b->region] += backend_slots(b);
+		}
 		for (i = 0; i < s->n_regions; i++) {
 			if (sum[i] < svc->capacity[i] * (1 - CAPACITY_STEP) ||
 			    sum[i] > svc->capacity[i] * (1 + CAPACITY_STEP))
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -139,6 +139,8 @@
 /* True if a repeated send of this service is within the budget. */
 bool limits_repeat(struct cs_steer *s, struct cs_steer_service *svc, uint64_t now_us);
 bool limits_is_cold(const struct cs_backend *b, uint64_t now_us);
+/* Notes which instance may send to a cold server, so that a change of it is seen in time. */
+void limits_cold_owner(struct cs_steer *s, struct cs_backend *b, uint64_t now_us);
 /* True if one more request may go to a cold server now. */
 bool limits_cold(struct cs_steer *s, struct cs_backend *b, uint64_t now_us);
 void limits_cold_sent(struct cs_backend *b, uint64_t now_us);
--- /dev/null
+++ b/tests/unit/steer-fixture.c
@@ -0,0 +1,93 @@
+/* See steer-fixture.h. */
+#include <string.h>
+
+#include "tests/unit/steer-fixture.h"
+
+static const struct cs_steer_zone zones[] = {{"a1", "ra"}, {"a2", "ra"}, {"b1", "rb"},
+					     {"b2", "rb"}, {"c1", "rc"}, {"c2", "rc"}};
+
+struct cs_steer *fixture_create(const char *name, const char *zone, uint64_t now)
+{
+	struct cs_steer_opts o = {.zones = zones,
+				  .n_zones = G_N_ELEMENTS(zones),
+				  .bounds = {.retry_ratio = 0.2,
+					     .retry_window_s = 10,
+					     .retry_extra = 60,
+					     .cold_overrun = 1.5,
+					     .cold_slack = 5,
+					     .max_shift = 0.15,
+					     .lookup_ttl_ms = 5000,
+					     .member_silence_ms = 3000},
+				  .seed = 1};
+
+	cs_copy(o.instance, sizeof(o.instance), name);
+	cs_copy(o.zone, sizeof(o.zone), zone);
+	return cs_steer_create(&o, now);
+}
+
+struct cs_document *fixture_document(uint64_t version, const char *homes)
+{
+	struct cs_document *doc = cs_document_create(1, 1);
+	struct cs_route *r = &doc->routes[0];
+
+	doc->version = version;
+	cs_copy(r->name, sizeof(r->name), "r");
+	r->host = cs_xstrdup("h.example");
+	r->prefix = cs_xstrdup("/x/");
+	r->timeout_ms = 1200;
+	r->target_ms = 400;
+	r->max_attempts = 2;
+	r->sticky = true;
+	r->n_parts = 1;
+	cs_copy(r->parts[0].service, CS_NAME_MAX, "s");
+	r->parts[0].weight = 1;
+	if (homes != NULL)
+		cs_copy(r->homes[r->n_homes++], CS_NAME_MAX, homes);
+	cs_copy(doc->services[0].name, CS_NAME_MAX, "s");
+	cs_copy(doc->services[0].health_path, CS_NAME_MAX, "/health");
+	doc->services[0].cold_per_s = 10;
+	cs_document_seal(doc);
+	return doc;
+}
+
+void fixture_server(struct cs_steer *s, const char *id, const char *zone, unsigned cold_ms,
+		    uint64_t now)
+{
+	struct cs_server_entry e = {
+		.port = 80, .slots = 4, .cold_ms = cold_ms, .born_ms = 1000, .addr = "127.0.0.1"};
+
+	cs_copy(e.id, sizeof(e.id), id);
+	cs_copy(e.service, sizeof(e.service), "s");
+	cs_copy(e.zone, sizeof(e.zone), zone);
+	cs_steer_server(s, &e, now);
+}
+
+void fixture_ask(struct cs_steer *s, struct cs_steer_ask *ask, uint64_t object, uint64_t now)
+{
+	memset(ask, 0, sizeof(*ask));
+	ask->object = object;
+	cs_steer_begin(s, ask, &cs_steer_current(s)->routes[0], 2500, now);
+}
+
+void fixture_member(struct cs_steer *s, const char *name, const char *zone, uint64_t now)
+{
+	struct cs_steer_member m = {.boot = 1, .ready = true};
+	static struct cs_steer_report r;
+
+	cs_copy(m.name, sizeof(m.name), name);
+	cs_copy(m.zone, sizeof(m.zone), zone);
+	cs_copy(m.front, sizeof(m.front), name);
+	cs_steer_member(s, &m, now);
+	memset(&r, 0, sizeof(r));
+	cs_copy(r.name, sizeof(r.name), name);
+	r.boot = 1;
+	r.seq = now;
+	r.ready = true;
+	cs_steer_report_in(s, &r, now);
+}
+
+void fixture_run(struct cs_steer *s, uint64_t *now, uint64_t until)
+{
+	for (; *now < until; *now += MS(50))
+		cs_steer_tick(s, *now);
+}
--- /dev/null
+++ b/tests/unit/test-steer.c
@@ -0,0 +1,367 @@
+/* Decisions of lib/steer: homes, objects, cold servers, budgets, evacuations, directory. */
+#include <string.h>
+
+#include "steer/feed.h"
+#include "tests/unit/steer-fixture.h"
+
+/* Decides once and returns the server's id, or NULL if the request is not sent. */
+static const char *decide(struct cs_steer *s, struct cs_steer_ask *ask, uint64_t now)
+{
+	struct cs_steer_decision d;
+
+	cs_steer_decide(s, ask, now, &d);
+	if (d.verdict == CS_STEER_SEND)
+		return cs_backend_id(d.u.send.backend);
+	cs_steer_forget(s, ask);
+	return NULL;
+}
+
+/* Guards against a request that leaves its home regions when these have no server at all. */
+static void test_home_without_servers(void)
+{
+	uint64_t now = MS(1000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	struct cs_steer_ask ask;
+	int i;
+
+	cs_steer_document(s, fixture_document(1, "rb"), now);
+	fixture_server(s, "s1", "a1", 0, now);
+	fixture_server(s, "s2", "b1", 0, now);
+	fixture_run(s, &now, MS(3000));
+	for (i = 0; i < 50; i++) {
+		fixture_ask(s, &ask, i % 2 ? (uint64_t)i << 40 : 0, now);
+		g_assert_cmpstr(decide(s, &ask, now), !=, "s1");
+	}
+	cs_steer_server_gone(s, "s2", now);
+	fixture_run(s, &now, MS(5000));
+	for (i = 0; i < 50; i++) {
+		fixture_ask(s, &ask, i % 2 ? (uint64_t)i << 40 : 0, now);
+		g_assert_null(decide(s, &ask, now));
+	}
+	cs_steer_destroy(s);
+}
+
+/* Guards against homes that name no region of the installation being taken for none. */
+static void test_home_unknown(void)
+{
+	uint64_t now = MS(1000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	struct cs_steer_ask ask;
+
+	cs_steer_document(s, fixture_document(1, "elsewhere"), now);
+	fixture_server(s, "s1", "a1", 0, now);
+	fixture_run(s, &now, MS(2000));
+	fixture_ask(s, &ask, 0, now);
+	g_assert_null(decide(s, &ask, now));
+	cs_steer_destroy(s);
+}
+
+/* Guards against an object that wanders over many servers, whose caches then hold nothing. */
+static void test_object_stays(void)
+{
+	uint64_t now = MS(1000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	char seen[8][CS_NAME_MAX];
+	unsigned n = 0, k;
+	struct cs_steer_ask ask;
+	struct cs_steer_decision d;
+	char id[16];
+	int i;
+
+	cs_steer_document(s, fixture_document(1, NULL), now);
+	for (i = 0; i < 8; i++) {
+		g_snprintf(id, sizeof(id), "s%d", i);
+		fixture_server(s, id, i % 2 ? "a1" : "a2", 0, now);
+	}
+	fixture_run(s, &now, MS(3000));
+	for (i = 0; i < 200; i++, now += MS(5)) {
+		fixture_ask(s, &ask, 0x1234567890abcdefULL, now);
+		cs_steer_decide(s, &ask, now, &d);
+		g_assert_cmpint(d.verdict, ==, CS_STEER_SEND);
+		for (k = 0; k < n; k++)
+			if (strcmp(seen[k], cs_backend_id(d.u.send.backend)) == 0)
+				break;
+		if (k == n)
+			cs_copy(seen[n++], CS_NAME_MAX, cs_backend_id(d.u.send.backend));
+		cs_steer_ended(s, &ask, d.u.send.backend, CS_STEER_OK, MS(4), now + MS(4));
+	}
+	g_assert_cmpuint(n, <=, 2);
+	cs_steer_destroy(s);
+}
+
+/* Guards against more requests in a second than a cold server bears, and against none at all. */
+static void test_cold_rate(void)
+{
+	uint64_t now = MS(1000), start;
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	struct cs_steer_ask ask;
+	struct cs_steer_decision d;
+	unsigned sent = 0, i;
+
+	cs_steer_document(s, fixture_document(1, NULL), now);
+	fixture_server(s, "s1", "a1", 60000, now);
+	fixture_run(s, &now, MS(5000));
+	for (start = now; now < start + MS(1000); now += MS(5)) {
+		fixture_ask(s, &ask, 0, now);
+		cs_steer_decide(s, &ask, now, &d);
+		if (d.verdict != CS_STEER_SEND) {
+			cs_steer_forget(s, &ask);
+			continue;
+		}
+		sent++;
+		cs_steer_ended(s, &ask, d.u.send.backend, CS_STEER_OK, MS(1), now);
+	}
+	g_assert_cmpuint(sent, >, 0);
+	g_assert_cmpuint(sent, <=, 15);
+	/* An instance that hears none of nine others takes only its part. */
+	for (i = 0; i < 9; i++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "p%u", i);
+		fixture_member(s, name, "a1", now);
+	}
+	fixture_run(s, &now, now + MS(10000));
+	for (sent = 0, start = now; now < start + MS(1000); now += MS(5)) {
+		fixture_ask(s, &ask, 0, now);
+		cs_steer_decide(s, &ask, now, &d);
+		if (d.verdict != CS_STEER_SEND) {
+			cs_steer_forget(s, &ask);
+			continue;
+		}
+		sent++;
+		cs_steer_ended(s, &ask, d.u.send.backend, CS_STEER_OK, MS(1), now);
+	}
+	g_assert_cmpuint(sent, <=, 2);
+	cs_steer_destroy(s);
+}
+
+/* Guards against repeated sends beyond the budget of all instances. */
+static void test_repeat_budget(void)
+{
+	uint64_t now = MS(20000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	struct cs_steer_ask ask;
+	struct cs_steer_decision d;
+	unsigned repeats = 0;
+	char id[16];
+	int i;
+
+	cs_steer_document(s, fixture_document(1, NULL), now);
+	for (i = 0; i < 4; i++) {
+		g_snprintf(id, sizeof(id), "s%d", i);
+		fixture_server(s, id, "a1", 0, now);
+	}
+	fixture_run(s, &now, MS(21000));
+	for (i = 0; i < 500; i++, now += MS(2)) {
+		fixture_ask(s, &ask, 0, now);
+		cs_steer_decide(s, &ask, now, &d);
+		g_assert_cmpint(d.verdict, ==, CS_STEER_SEND);
+		cs_steer_ended(s, &ask, d.u.send.backend, CS_STEER_ERROR, MS(1), now);
+		cs_steer_decide(s, &ask, now, &d);
+		if (d.verdict == CS_STEER_SEND) {
+			repeats++;
+			cs_steer_ended(s, &ask, d.u.send.backend, CS_STEER_OK, MS(1), now);
+		} else {
+			cs_steer_forget(s, &ask);
+		}
+	}
+	g_assert_cmpuint(repeats, >, 50);
+	g_assert_cmpuint(repeats, <=, 500 / 5 + 60);
+	cs_steer_destroy(s);
+}
+
+/* Guards against sends to an evacuated zone, and to its servers, often cold, right afterwards. */
+static void test_evacuation(void)
+{
+	uint64_t now = MS(1000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	struct cs_steer_ask ask;
+	struct cs_backend *b;
+
+	cs_steer_document(s, fixture_document(1, NULL), now);
+	fixture_server(s, "s1", "a1", 0, now);
+	fixture_run(s, &now, MS(2000));
+	cs_steer_evacuate(s, "a1", true, now);
+	fixture_ask(s, &ask, 0, now);
+	g_assert_null(decide(s, &ask, now));
+	g_assert_null(cs_steer_probe_next(s, now));
+	cs_steer_evacuate(s, "a1", false, now);
+	fixture_ask(s, &ask, 0, now);
+	g_assert_null(decide(s, &ask, now));
+	b = cs_steer_probe_next(s, now);
+	g_assert_nonnull(b);
+	cs_steer_probed(s, b, true, 0, now);
+	fixture_ask(s, &ask, 0, now);
+	g_assert_cmpstr(decide(s, &ask, now), ==, "s1");
+	cs_steer_destroy(s);
+}
+
+/* Guards against the end of a server whose entry lapsed only because the store was away. */
+static void test_lapsed_entry(void)
+{
+	uint64_t now = MS(1000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	struct cs_steer_ask ask;
+
+	cs_steer_document(s, fixture_document(1, NULL), now);
+	fixture_server(s, "s1", "a1", 0, now);
+	fixture_server(s, "s2", "a2", 0, now);
+	cs_steer_reading_begin(s);
+	fixture_server(s, "s2", "a2", 0, now);
+	cs_steer_reading_end(s, MS(2000), now);
+	cs_steer_server_gone(s, "s2", now);
+	fixture_run(s, &now, MS(2900));
+	fixture_ask(s, &ask, 0, now);
+	g_assert_cmpstr(decide(s, &ask, now), ==, "s1");
+	fixture_run(s, &now, MS(3100));
+	fixture_ask(s, &ask, 0, now);
+	g_assert_null(decide(s, &ask, now));
+	cs_steer_destroy(s);
+}
+
+/* Guards against a document of a lower version taking the place of a newer one. */
+static void test_version_grows(void)
+{
+	uint64_t now = MS(1000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+
+	g_assert_true(cs_steer_document(s, fixture_document(5, NULL), now));
+	g_assert_false(cs_steer_document(s, fixture_document(4, NULL), now));
+	g_assert_false(cs_steer_document(s, fixture_document(5, NULL), now));
+	g_assert_cmpuint(cs_steer_current(s)->version, ==, 5);
+	cs_steer_destroy(s);
+}
+
+/* Guards against answers that name an instance that is silent, leaving or not ready. */
+static void test_directory(void)
+{
+	struct cs_steer_member self = {.name = "i1", .zone = "a1", .front = "self", .ready = true};
+	uint64_t now = MS(1000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	char out[CS_NAMED_MAX][CS_ADDR_MAX + 8];
+
+	fixture_member(s, "i2", "a1", now);
+	fixture_member(s, "i3", "b1", now);
+	g_assert_cmpuint(cs_steer_directory(s, "a1", "ra", &self, now, out, CS_NAMED_MAX), ==, 2);
+	g_assert_cmpuint(cs_steer_directory(s, "b1", "rb", &self, now, out, CS_NAMED_MAX), >=, 1);
+	g_assert_cmpstr(out[0], ==, "i3");
+	now += MS(3500);
+	g_assert_cmpuint(cs_steer_directory(s, "a1", "ra", &self, now, out, CS_NAMED_MAX), ==, 1);
+	g_assert_cmpstr(out[0], ==, "self");
+	self.leaving = true;
+	g_assert_cmpuint(cs_steer_directory(s, "a1", "ra", &self, now, out, CS_NAMED_MAX), ==, 0);
+	cs_steer_destroy(s);
+}
+
+/* Guards against a split that is off its weights after a few hundred requests. */
+static void test_split(void)
+{
+	struct cs_document *doc = fixture_document(1, NULL);
+	struct cs_route *r = &doc->routes[0];
+	uint64_t now = MS(1000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	struct cs_steer_ask ask;
+	int i, second = 0;
+
+	r->n_parts = 2;
+	r->parts[0].weight = 90;
+	cs_copy(r->parts[1].service, CS_NAME_MAX, "t");
+	r->parts[1].weight = 10;
+	cs_steer_document(s, doc, now);
+	for (i = 0; i < 200; i++) {
+		fixture_ask(s, &ask, 0, now);
+		second += strcmp(ask.service, "t") == 0;
+	}
+	g_assert_cmpint(second, >=, 19);
+	g_assert_cmpint(second, <=, 21);
+	cs_steer_destroy(s);
+}
+
+/* Guards against a route chosen by a shorter prefix, or of another host. */
+static void test_routes(void)
+{
+	struct cs_document *doc = cs_document_create(3, 0);
+	const char *const rows[][3] = {{"one", "h.example", "/a/"},
+				       {"two", "h.example", "/a/b/"},
+				       {"three", "g.example", "/"}};
+	unsigned i;
+
+	for (i = 0; i < 3; i++) {
+		cs_copy(doc->routes[i].name, CS_NAME_MAX, rows[i][0]);
+		doc->routes[i].host = cs_xstrdup(rows[i][1]);
+		doc->routes[i].prefix = cs_xstrdup(rows[i][2]);
+	}
+	cs_document_seal(doc);
+	g_assert_cmpstr(cs_document_route(doc, "h.example", "/a/b/c")->name, ==, "two");
+	g_assert_cmpstr(cs_document_route(doc, "H.Example:80", "/a/x")->name, ==, "one");
+	g_assert_cmpstr(cs_document_route(doc, "g.example", "/a/x")->name, ==, "three");
+	g_assert_null(cs_document_route(doc, "h.example", "/b/"));
+	g_assert_null(cs_document_route(doc, "h.example.org", "/a/"));
+	cs_document_destroy(doc);
+}
+
+/* Guards against changes between two pages of a reading being missed. */
+static void test_feed_pages(void)
+{
+	struct cs_feed_step step;
+	struct cs_feed f;
+	uint64_t now = MS(1000);
+
+	cs_feed_init(&f, 1, now);
+	cs_feed_next(&f, now, &step);
+	g_assert_cmpint(step.kind, ==, CS_FEED_READ);
+	g_assert_true(step.first);
+	g_assert_false(cs_feed_read(&f, 10, true, now));
+	cs_feed_next(&f, now, &step);
+	g_assert_cmpint(step.kind, ==, CS_FEED_READ);
+	g_assert_false(step.first);
+	g_assert_true(cs_feed_read(&f, 15, false, now));
+	cs_feed_next(&f, now, &step);
+	g_assert_cmpint(step.kind, ==, CS_FEED_WATCH);
+	g_assert_cmpuint(step.after, ==, 10);
+	cs_feed_history_lost(&f, now);
+	cs_feed_next(&f, now, &step);
+	g_assert_cmpint(step.kind, ==, CS_FEED_READ);
+	g_assert_true(step.first);
+}
+
+/* Guards against servers dropped at the store's return, and against keeping them for long. */
+static void test_feed_away(void)
+{
+	struct cs_feed_step step;
+	struct cs_feed f;
+	uint64_t now = MS(1000);
+
+	cs_feed_init(&f, 1, now);
+	g_assert_true(cs_feed_read(&f, 10, false, now));
+	g_assert_cmpuint(cs_feed_keep_us(&f, now), ==, 0);
+	for (; now < MS(6000); now += MS(100)) {
+		cs_feed_next(&f, now, &step);
+		if (step.kind == CS_FEED_WATCH)
+			cs_feed_failed(&f, now);
+	}
+	g_assert_true(cs_feed_is_away(&f));
+	cs_feed_watched(&f, 20, 3, now);
+	g_assert_false(cs_feed_is_away(&f));
+	g_assert_cmpuint(cs_feed_keep_us(&f, now), >=, MS(1900));
+	g_assert_cmpuint(cs_feed_keep_us(&f, now + MS(2100)), ==, 0);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/steer/home/without-servers", test_home_without_servers);
+	g_test_add_func("/steer/home/unknown", test_home_unknown);
+	g_test_add_func("/steer/object/stays", test_object_stays);
+	g_test_add_func("/steer/cold/rate", test_cold_rate);
+	g_test_add_func("/steer/repeat/budget", test_repeat_budget);
+	g_test_add_func("/steer/evacuation", test_evacuation);
+	g_test_add_func("/steer/lapsed-entry", test_lapsed_entry);
+	g_test_add_func("/steer/version-grows", test_version_grows);
+	g_test_add_func("/steer/directory", test_directory);
+	g_test_add_func("/steer/split", test_split);
+	g_test_add_func("/steer/routes", test_routes);
+	g_test_add_func("/steer/feed/pages", test_feed_pages);
+	g_test_add_func("/steer/feed/away", test_feed_away);
+	return g_test_run();
+}
