feed: tell a store that was away from an instance that was cut off

Cause: an instance that regains the store keeps servers whose entries are missing for 2 s, because entries that lapsed in an outage return in that time.

Ruled out: a watch that missed the removal (the log shows store.lost at 2.9 s and store.regained at 14.5 s).

Change: reports say whether the store answered every call for 5 s; one instance that says so ends the keeping of lapsed servers. While the store does not answer, calls have 600 ms, every third one the usual time, and pauses end after 0.6 s at most.

Tests: /steer/lapsed-beside-steady-peer, /steer/feed/returns-soon.

--- a/lib/steer/feed.c
+++ b/lib/steer/feed.c
@@ -8,7 +8,25 @@
 #define GROUP_US (200 * CS_US_PER_MS)
 /* Pause after a failed call, doubled up to the longest, each spread by half. */
 #define RETRY_FIRST_US (150 * CS_US_PER_MS)
-#define RETRY_MAX_US (800 * CS_US_PER_MS)
+#define RETRY_MAX_US (400 * CS_US_PER_MS)
+/*
+ * A watch answers at the first change, or after this time. While the store drops its history,
+ * waiting watches hear nothing of changes that must be in force within 2 s.
+ */
+#define WATCH_MS 800
+/* The store answers in milliseconds, and some tens of times slower on bad days. */
+#define ANSWER_MS 900
+#define READ_MS 2000
+/*
+ * While the store does not answer, calls are short, so that its return is seen within about a
+ * second; every third one has the usual time, for a store that is only slow.
+ */
+#define AWAY_WATCH_MS 20
+#define AWAY_ANSWER_MS 600
+#define AWAY_LONG_EVERY 3
+/* Contact for this long counts as steady, if the last answer is not older than this. */
+#define STEADY_US (5 * CS_US_PER_S)
+#define STEADY_ANSWER_US (1800 * CS_US_PER_MS)
 /* A store that failed for this long may have let entries lapse that it will have again. */
 #define AWAY_US (700 * CS_US_PER_MS)
 /* Servers that live and reach the store write their entries again within this time of its return. */
@@ -16,7 +34,7 @@
 
 void cs_feed_init(struct cs_feed *f, uint64_t seed, uint64_t now_us)
 {
-	*f = (struct cs_feed){.answered_us = now_us, .reading = true};
+	*f = (struct cs_feed){.answered_us = now_us, .steady_us = now_us, .reading = true};
 	cs_rng_seed(&f->rng, seed);
 }
 
@@ -29,10 +47,15 @@
 		return;
 	}
 	f->asked_us = now_us;
-	if (!f->reading)
-		return;
-	out->kind = CS_FEED_READ;
-	out->first = !f->page_open;
+	out->wait_ms = f->failures > 0 ? AWAY_WATCH_MS : WATCH_MS;
+	out->timeout_ms = out->wait_ms + ANSWER_MS;
+	if (f->reading) {
+		out->kind = CS_FEED_READ;
+		out->first = !f->page_open;
+		out->timeout_ms = READ_MS;
+	}
+	if (f->failures % AWAY_LONG_EVERY != 0)
+		out->timeout_ms = AWAY_ANSWER_MS;
 }
 
 /* The store answers: entries that lapsed while it did not may be written again. */
@@ -83,6 +106,7 @@
 	if (f->failures == 0 && f->asked_us > f->answered_us)
 		f->answered_us = f->asked_us;
 	f->failures++;
+	f->steady_us = now_us;
 	if (wait > RETRY_MAX_US)
 		wait = RETRY_MAX_US;
 	f->pause_until_us = now_us + wait / 2 + cs_rng_below(&f->rng, (uint32_t)wait);
@@ -94,3 +118,9 @@
 {
 	return now_us < f->away_until_us ? f->away_until_us - now_us : 0;
 }
+
+bool cs_feed_is_steady(const struct cs_feed *f, uint64_t now_us)
+{
+	return f->known && f->failures == 0 && now_us - f->steady_us > STEADY_US &&
+	       now_us - f->answered_us < STEADY_ANSWER_US;
+}
--- a/lib/steer/feed.h
+++ b/lib/steer/feed.h
@@ -18,6 +18,8 @@
 	uint64_t until_us; /* PAUSE */
 	bool first; /* READ: first page */
 	uint64_t after; /* WATCH: revision */
+	unsigned wait_ms; /* WATCH: longest time without a change */
+	unsigned timeout_ms; /* READ, WATCH: later than this is no answer */
 };
 
 struct cs_feed {
@@ -29,6 +31,7 @@
 	uint64_t pause_until_us;
 	unsigned failures; /* in a row */
 	uint64_t answered_us; /* last answer */
+	uint64_t steady_us; /* since when every call was answered */
 	uint64_t away_until_us; /* entries that lapsed while the store was away may return */
 	uint64_t asked_us; /* last step other than PAUSE */
 	struct cs_rng rng;
@@ -46,6 +49,8 @@
 void cs_feed_failed(struct cs_feed *f, uint64_t now_us);
 /* How long a server stays usable whose entry is found missing now, in us. */
 uint64_t cs_feed_keep_us(const struct cs_feed *f, uint64_t now_us);
+/* True if every call was answered for so long that nothing can have lapsed unseen. */
+bool cs_feed_is_steady(const struct cs_feed *f, uint64_t now_us);
 /* True while the store does not answer. */
 static inline bool cs_feed_is_away(const struct cs_feed *f)
 {
--- a/lib/steer/members.c
+++ b/lib/steer/members.c
@@ -73,6 +73,7 @@
 	m->m.boot = r->boot;
 	m->m.ready = r->ready;
 	m->m.leaving = r->leaving;
+	m->m.store_steady = r->store_steady;
 	m->seq = r->seq;
 	m->heard_us = now_us;
 	m->report = *r;
@@ -125,6 +126,16 @@
 		s->most_members = n;
 }
 
+bool cs_steer_store_steady(const struct cs_steer *s, uint64_t now_us)
+{
+	const struct member *m;
+
+	TAILQ_FOREACH(m, &s->members, entry)
+		if (m->m.store_steady && now_us - m->heard_us < PEER_REPORT_MAX_US)
+			return true;
+	return false;
+}
+
 unsigned cs_steer_members(const struct cs_steer *s, uint64_t now_us)
 {
 	const struct member *m;
--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -276,11 +276,16 @@
 
 void servers_sweep(struct cs_steer *s, uint64_t now_us)
 {
+	bool steady = cs_steer_store_steady(s, now_us);
 	struct cs_backend *b, *next;
 
-	RB_FOREACH_SAFE(b, backend_ids, &s->ids, next)
+	RB_FOREACH_SAFE(b, backend_ids, &s->ids, next) {
+		/* Its entry lapsed for good: another instance had the store all the time. */
+		if (!b->listed && steady && b->gone_us > now_us)
+			b->gone_us = now_us;
 		if (!b->listed && now_us >= b->gone_us && b->in_flight == 0)
 			backend_free(s, b);
+	}
 }
 
 void servers_capacity(struct cs_steer *s, uint64_t now_us)
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -210,6 +210,7 @@
 	uint64_t boot; /* differs between two processes of the same name */
 	bool ready;
 	bool leaving;
+	bool store_steady; /* the store answered every call of it for some seconds */
 };
 
 #define CS_REPORT_ROWS 512
@@ -234,6 +235,7 @@
 	uint64_t seq;
 	bool ready;
 	bool leaving;
+	bool store_steady;
 	struct cs_report_service services[CS_REPORT_SERVICES];
 	unsigned n_services;
 	struct cs_report_row rows[CS_REPORT_ROWS];
@@ -246,6 +248,8 @@
 void cs_steer_report_in(struct cs_steer *s, const struct cs_steer_report *r, uint64_t now_us);
 /* Fills this instance's report, except for name, boot, seq and flags. */
 void cs_steer_report_out(struct cs_steer *s, struct cs_steer_report *r, uint64_t now_us);
+/* True if another instance, heard a moment ago, had the store all the time. */
+bool cs_steer_store_steady(const struct cs_steer *s, uint64_t now_us);
 /* Instances that were heard of lately, this one included. */
 unsigned cs_steer_members(const struct cs_steer *s, uint64_t now_us);
 
--- a/src/node/feed.c
+++ b/src/node/feed.c
@@ -6,12 +6,6 @@
 
 /* One watch follows the document, the servers, the evacuations and the instances. */
 #define ALL_KEYS ""
-/*
- * A watch answers at the first change, or after this time. While the store drops its history, waiting
- * watches hear nothing of changes that must be in force within 2 s.
- */
-#define WATCH_MS 800
-
 struct node_feed {
 	struct node *node;
 	struct cs_feed state;
@@ -52,6 +46,11 @@
 	return f->state.known;
 }
 
+bool feed_steady(const struct node_feed *f)
+{
+	return cs_feed_is_steady(&f->state, cs_mono_us());
+}
+
 bool feed_away(const struct node_feed *f)
 {
 	return cs_feed_is_away(&f->state);
@@ -78,10 +77,12 @@
 			memset(f->evacuated_named, 0, sizeof(f->evacuated_named));
 			cs_steer_reading_begin(n->steer);
 		}
-		f->call = platform_range(n->store, ALL_KEYS, f->last_key, on_page, f);
+		f->call = platform_range(n->store, ALL_KEYS, f->last_key, step.timeout_ms, on_page,
+					 f);
 		break;
 	case CS_FEED_WATCH:
-		f->call = platform_watch(n->store, ALL_KEYS, step.after, WATCH_MS, on_watch, f);
+		f->call = platform_watch(n->store, ALL_KEYS, step.after, step.wait_ms,
+					 step.timeout_ms, on_watch, f);
 		break;
 	}
 }
@@ -138,6 +139,15 @@
 		 (unsigned long long)version, (unsigned long long)it->revision);
 }
 
+/*
+ * How long a server stays usable whose entry is found missing. An instance that had the store all
+ * the time would have seen entries return: then this one was cut off, and the server is gone.
+ */
+static uint64_t keep_us(const struct node_feed *f, uint64_t now)
+{
+	return cs_steer_store_steady(f->node->steer, now) ? 0 : cs_feed_keep_us(&f->state, now);
+}
+
 static void take_server(struct node_feed *f, const char *id, const struct platform_item *it,
 			uint64_t now)
 {
@@ -147,7 +157,7 @@
 	uint64_t keep;
 
 	if (it->value == NULL) {
-		keep = cs_feed_keep_us(&f->state, now);
+		keep = keep_us(f, now);
 		cs_event(n->events, CS_EVENT_KEEP, "server.gone",
 			 "server=%s revision=%llu keep_ms=%llu", id,
 			 (unsigned long long)it->revision,
@@ -241,7 +251,7 @@
 	for (i = 0; i < n->settings.n_zones; i++)
 		if (!f->evacuated_named[i])
 			cs_steer_evacuate(n->steer, n->settings.zones[i].name, false, now);
-	cs_steer_reading_end(n->steer, cs_feed_keep_us(&f->state, now), now);
+	cs_steer_reading_end(n->steer, keep_us(f, now), now);
 	cs_event(n->events, CS_EVENT_KEEP, "store.read", "revision=%llu servers=%u",
 		 (unsigned long long)f->state.revision, cs_steer_servers(n->steer));
 }
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -11,6 +11,10 @@
 #include "src/node/node.h"
 
 #define REPORT_FORMAT 1
+/* Flags of a report. */
+#define FLAG_READY 1
+#define FLAG_LEAVING 2
+#define FLAG_STORE_STEADY 4
 /* Reports are sent this often while there are few instances. */
 #define PERIOD_US (150 * CS_US_PER_MS)
 /* Beyond this many instances the period grows with their number, so that traffic stays bounded. */
@@ -213,7 +217,8 @@
 	pack_text(&pk, self.name);
 	msgpack_pack_uint64(&pk, self.boot);
 	msgpack_pack_uint64(&pk, ++g->seq);
-	msgpack_pack_int(&pk, (self.ready ? 1 : 0) | (self.leaving ? 2 : 0));
+	msgpack_pack_int(&pk, (self.ready ? FLAG_READY : 0) | (self.leaving ? FLAG_LEAVING : 0) |
+				      (self.store_steady ? FLAG_STORE_STEADY : 0));
 	pack_services(&pk, r);
 	pack_rows(&pk, r);
 }
@@ -323,8 +328,9 @@
 	r->name[v[1].via.str.size] = '\0';
 	r->boot = v[2].via.u64;
 	r->seq = v[3].via.u64;
-	r->ready = v[4].via.u64 & 1;
-	r->leaving = v[4].via.u64 & 2;
+	r->ready = v[4].via.u64 & FLAG_READY;
+	r->leaving = v[4].via.u64 & FLAG_LEAVING;
+	r->store_steady = v[4].via.u64 & FLAG_STORE_STEADY;
 	return read_services(&v[5], r) && read_rows(&v[6], r);
 }
 
--- a/src/node/main.c
+++ b/src/node/main.c
@@ -54,6 +54,7 @@
 	out->boot = n->boot;
 	out->ready = node_ready(n);
 	out->leaving = n->stop != STOP_NO;
+	out->store_steady = feed_steady(n->feed);
 }
 
 static void on_tick(struct cs_timer *t, void *arg)
@@ -95,10 +96,10 @@
 	n->lanes = cs_lanes_create(n->loop, n->timers, n->settings.addr);
 	n->control = cs_curl_create(n->loop, n->timers);
 	n->store = platform_store_create(n->control, &n->settings.store);
+	n->feed = feed_create(n);
 	n->gossip = gossip_create(n, msg);
 	if (n->gossip == NULL || !front_start(n, msg))
 		return false;
-	n->feed = feed_create(n);
 	n->member = member_create(n);
 	if (!admin_start(n, msg))
 		return false;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -164,6 +164,8 @@
 struct node_feed *feed_create(struct node *n);
 void feed_destroy(struct node_feed *f);
 bool feed_known(const struct node_feed *f);
+/* Every call to the store was answered for some seconds. */
+bool feed_steady(const struct node_feed *f);
 bool feed_away(const struct node_feed *f);
 
 /* member.c: this instance's own key in the store. */
--- a/tests/unit/test-steer.c
+++ b/tests/unit/test-steer.c
@@ -219,6 +219,30 @@
 	cs_steer_destroy(s);
 }
 
+/* Guards against servers kept for a store that was never away, only out of this instance's reach. */
+static void test_lapsed_beside_steady_peer(void)
+{
+	struct cs_steer_report r = {.name = "i2", .boot = 1, .ready = true, .store_steady = true};
+	uint64_t now = MS(1000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	struct cs_steer_ask ask;
+
+	cs_steer_document(s, fixture_document(1, NULL), now);
+	fixture_server(s, "s1", "a1", 0, now);
+	fixture_member(s, "i2", "a2", now);
+	g_assert_false(cs_steer_store_steady(s, now));
+	cs_steer_server_lapsed(s, "s1", MS(2000), now);
+	fixture_run(s, &now, MS(1100));
+	fixture_ask(s, &ask, 0, now);
+	g_assert_cmpstr(decide(s, &ask, now), ==, "s1");
+	r.seq = now;
+	cs_steer_report_in(s, &r, now);
+	fixture_run(s, &now, MS(1200));
+	fixture_ask(s, &ask, 0, now);
+	g_assert_null(decide(s, &ask, now));
+	cs_steer_destroy(s);
+}
+
 /* Guards against a document of a lower version taking the place of a newer one. */
 static void test_version_grows(void)
 {
@@ -347,6 +371,32 @@
 	g_assert_cmpuint(cs_feed_keep_us(&f, now + MS(2100)), ==, 0);
 }
 
+/* Guards against the store's return being seen only seconds later. */
+static void test_feed_returns_soon(void)
+{
+	uint64_t now = MS(1000), longest = 0, began;
+	struct cs_feed_step step;
+	struct cs_feed f;
+	int i;
+
+	cs_feed_init(&f, 1, now);
+	cs_feed_read(&f, 10, false, now);
+	for (i = 0; i < 100; i++) {
+		began = now;
+		cs_feed_next(&f, now, &step);
+		if (step.kind == CS_FEED_PAUSE)
+			now = step.until_us;
+		else
+			now += MS(step.timeout_ms);
+		if (step.kind != CS_FEED_PAUSE)
+			cs_feed_failed(&f, now);
+		if (i > 4 && now - began > longest)
+			longest = now - began;
+	}
+	/* The call that is out when the store returns, and the pause after it. */
+	g_assert_cmpuint(longest, <=, MS(1000));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -357,11 +407,13 @@
 	g_test_add_func("/steer/repeat/budget", test_repeat_budget);
 	g_test_add_func("/steer/evacuation", test_evacuation);
 	g_test_add_func("/steer/lapsed-entry", test_lapsed_entry);
+	g_test_add_func("/steer/lapsed-beside-steady-peer", test_lapsed_beside_steady_peer);
 	g_test_add_func("/steer/version-grows", test_version_grows);
 	g_test_add_func("/steer/directory", test_directory);
 	g_test_add_func("/steer/split", test_split);
 	g_test_add_func("/steer/routes", test_routes);
 	g_test_add_func("/steer/feed/pages", test_feed_pages);
 	g_test_add_func("/steer/feed/away", test_feed_away);
+	g_test_add_func("/steer/feed/returns-soon", test_feed_returns_soon);
 	return g_test_run();
 }
