steer: rank the servers of an object and wait for the first

Change: the first server in rank takes nearly all requests for an object, with a queue of up to its slots; others only up to half of their slots, the next ranks first. Regions level their use from 0.5 on, 2 in 100 requests may leave the plan, a hedge follows after four times the usual work.

--- a/lib/steer/place.c
+++ b/lib/steer/place.c
@@ -9,14 +9,19 @@
 #include "steer/steer-int.h"
 
 /*
- * Servers of the region on which the requests for one object are kept. A server remembers a limited
- * number of objects: with more copies of each, every server forgets them before they come again.
+ * Servers of the region that are ranked for an object. A server remembers a limited number of
+ * objects: with more copies of each, every server forgets them before they come again. So the first
+ * in rank takes nearly all requests for it, and the next ones, always the same, what does not fit
+ * there.
  */
-#define COPIES 2
-/* Time of work where the object was handled lately, relative to where it was not. */
+#define RANKS 3
+/* Expected time of work by rank, relative to a server that does not have the object. */
+static const double rank_work[RANKS] = {0.3, 0.6, 0.8};
 #define WARM_FACTOR 0.3
 /* A server that has the object is taken up to this use: its queue is shorter than the work saved. */
-#define WARM_USE_MAX 1.5
+#define WARM_USE_MAX 2.0
+/* Any other server only up to this use: work without the object takes its slots for long. */
+#define SPILL_USE_MAX 0.5
 /* A stated pace loses its meaning with this time constant. */
 #define PACE_MEMORY_US (500.0 * CS_US_PER_MS)
 /* Mean pace over time and servers, taken where none was stated lately. */
@@ -32,8 +37,8 @@
 
 /* The servers of one region that have an object: those with the highest weights. */
 struct holders {
-	const struct cs_backend *server[COPIES];
-	uint64_t weight[COPIES];
+	const struct cs_backend *server[RANKS];
+	uint64_t weight[RANKS];
 };
 
 unsigned place_busy(const struct cs_backend *b, uint64_t now_us)
@@ -72,8 +77,8 @@
 		    limits_is_cold(b, now_us))
 			continue;
 		w = object_weight(ask->object, b);
-		for (i = COPIES; i > 0 && (h->server[i - 1] == NULL || w > h->weight[i - 1]); i--) {
-			if (i < COPIES) {
+		for (i = RANKS; i > 0 && (h->server[i - 1] == NULL || w > h->weight[i - 1]); i--) {
+			if (i < RANKS) {
 				h->server[i] = h->server[i - 1];
 				h->weight[i] = h->weight[i - 1];
 			}
@@ -83,14 +88,15 @@
 	}
 }
 
-static bool is_holder(const struct holders *h, const struct cs_backend *b)
+/* Rank of a server for the object; RANKS if it is none of the first. */
+static unsigned rank_of(const struct holders *h, const struct cs_backend *b)
 {
 	unsigned i;
 
-	for (i = 0; i < COPIES; i++)
+	for (i = 0; i < RANKS; i++)
 		if (h->server[i] == b)
-			return true;
-	return false;
+			break;
+	return i;
 }
 
 /* Pace expected of a server now: what it stated, fading to the mean. */
@@ -115,11 +121,11 @@
 }
 
 /* Expected time of an answer, in times of work without the object. */
-static double cost_of(struct cs_steer *s, const struct cs_backend *b, bool holder, unsigned busy,
+static double cost_of(struct cs_steer *s, const struct cs_backend *b, unsigned rank, unsigned busy,
 		      uint64_t now_us)
 {
 	double pace = pace_of(b, now_us) * (b->slow > 1 ? b->slow : 1);
-	double cost = pace * (holder ? WARM_FACTOR : 1);
+	double cost = pace * (rank < RANKS ? rank_work[rank] : 1);
 	unsigned slots = backend_slots(b);
 
 	if (busy >= slots)
@@ -133,7 +139,9 @@
 {
 	unsigned slots = backend_slots(b);
 
-	return place_busy(b, now_us) < (holder ? (unsigned)(slots * WARM_USE_MAX) : slots);
+	double use_max = holder ? WARM_USE_MAX : SPILL_USE_MAX;
+
+	return place_busy(b, now_us) + 1 <= use_max * slots;
 }
 
 struct cs_backend *place_in(struct cs_steer *s, struct cs_steer_service *svc,
@@ -142,18 +150,18 @@
 	struct cs_backend *b, *best = NULL;
 	double cost, least = 0;
 	struct holders h;
-	bool holder;
+	unsigned rank;
 
 	holders_find(s, svc, ask, region, now_us, &h);
 	TAILQ_FOREACH(b, &svc->backends, entry) {
 		if (b->region != region || !backend_usable(s, b, now_us) || was_tried(ask, b))
 			continue;
-		holder = is_holder(&h, b);
-		if (!place_has_room(b, holder, now_us))
+		rank = rank_of(&h, b);
+		if (!place_has_room(b, rank == 0, now_us))
 			continue;
 		if (limits_is_cold(b, now_us) && !limits_cold(s, b, now_us))
 			continue;
-		cost = cost_of(s, b, holder, place_busy(b, now_us), now_us);
+		cost = cost_of(s, b, rank, place_busy(b, now_us), now_us);
 		if (best == NULL || cost < least) {
 			best = b;
 			least = cost;
--- a/lib/steer/regions.c
+++ b/lib/steer/regions.c
@@ -10,13 +10,13 @@
 #include "steer/steer-int.h"
 
 /* A region sends work away only beyond this use of its own slots. */
-#define USE_LOCAL 0.7
+#define USE_LOCAL 0.5
 /* Use that is assumed before any demand was measured. */
 #define USE_FIRST 0.9
 /* Part of the bound on shifts that planned moves use. */
 #define SHIFT_PART 0.5
 /* Part of the requests that may run in another region than planned. */
-#define LEAVE_PART 0.04
+#define LEAVE_PART 0.02
 #define LEAVE_MOST 8.0 /* requests saved up at most */
 /* The bound on shifts holds for windows of this length. */
 #define SHIFT_WINDOW_S 2.0
--- a/lib/steer/wait.c
+++ b/lib/steer/wait.c
@@ -23,7 +23,7 @@
 /* Used when the caller has no time left. */
 #define RETRY_MIN_MS 50
 /* A second send follows after this many times the usual work. */
-#define HEDGE_WORK_FACTOR 2.0
+#define HEDGE_WORK_FACTOR 4.0
 /* It needs a region whose slots are used at most to this part. */
 #define HEDGE_USE_MAX 0.85
 
