--- a/lib/steer/feed.c
+++ b/lib/steer/feed.c
@@ -24,6 +24,10 @@
 #define AWAY_WATCH_MS 20
 #define AWAY_ANSWER_MS 600
 #define AWAY_LONG_EVERY 3
+/* A follower that stays behind for this long asks the store itself. */
+#define BEHIND_US (250 * CS_US_PER_MS)
+/* A follower looks again after this time. */
+#define FOLLOW_US (100 * CS_US_PER_MS)
 /* Contact for this long counts as steady, if the last answer is not older than this. */
 #define STEADY_US (5 * CS_US_PER_S)
 #define STEADY_ANSWER_US (1800 * CS_US_PER_MS)
@@ -38,6 +42,11 @@
 	cs_rng_seed(&f->rng, seed);
 }
 
+static bool is_behind(const struct cs_feed *f, uint64_t now_us)
+{
+	return f->behind_us > 0 && now_us - f->behind_us >= BEHIND_US;
+}
+
 void cs_feed_next(struct cs_feed *f, uint64_t now_us, struct cs_feed_step *out)
 {
 	*out = (struct cs_feed_step){.kind = CS_FEED_WATCH, .after = f->revision};
@@ -46,8 +55,13 @@
 		out->until_us = f->pause_until_us;
 		return;
 	}
+	if (f->following && !f->reading && !is_behind(f, now_us)) {
+		out->kind = CS_FEED_PAUSE;
+		out->until_us = now_us + FOLLOW_US;
+		return;
+	}
 	f->asked_us = now_us;
-	out->wait_ms = f->failures > 0 ? AWAY_WATCH_MS : WATCH_MS;
+	out->wait_ms = f->failures > 0 || f->following ? AWAY_WATCH_MS : WATCH_MS;
 	out->timeout_ms = out->wait_ms + ANSWER_MS;
 	if (f->reading) {
 		out->kind = CS_FEED_READ;
@@ -114,6 +128,27 @@
 	f->page_open = false;
 }
 
+void cs_feed_follow(struct cs_feed *f, uint64_t revision, uint64_t now_us)
+{
+	f->following = revision > 0;
+	if (revision <= f->revision)
+		f->behind_us = 0;
+	else if (f->behind_us == 0)
+		f->behind_us = now_us;
+	/* The other's answers stand for own ones. */
+	if (f->following && f->failures == 0)
+		f->answered_us = now_us;
+}
+
+bool cs_feed_relayed(struct cs_feed *f, uint64_t from, uint64_t to, uint64_t now_us)
+{
+	if (f->reading || from > f->revision || to <= f->revision)
+		return false;
+	f->revision = to;
+	f->behind_us = 0;
+	return true;
+}
+
 uint64_t cs_feed_keep_us(const struct cs_feed *f, uint64_t now_us)
 {
 	return now_us < f->away_until_us ? f->away_until_us - now_us : 0;
@@ -121,6 +156,12 @@
 
 bool cs_feed_is_steady(const struct cs_feed *f, uint64_t now_us)
 {
-	return f->known && f->failures == 0 && now_us - f->steady_us > STEADY_US &&
+	return f->known && !f->following && f->failures == 0 && now_us - f->steady_us > STEADY_US &&
+	       now_us - f->answered_us < STEADY_ANSWER_US;
+}
+
+bool cs_feed_is_fresh(const struct cs_feed *f, uint64_t now_us)
+{
+	return f->known && !f->following && f->failures == 0 &&
 	       now_us - f->answered_us < STEADY_ANSWER_US;
 }
--- a/lib/steer/feed.h
+++ b/lib/steer/feed.h
@@ -34,6 +34,8 @@
 	uint64_t steady_us; /* since when every call was answered */
 	uint64_t away_until_us; /* entries that lapsed while the store was away may return */
 	uint64_t asked_us; /* last step other than PAUSE */
+	bool following; /* another instance watches and hands changes on */
+	uint64_t behind_us; /* following: since when it knows more; 0: it does not */
 	struct cs_rng rng;
 };
 
@@ -47,8 +49,17 @@
 void cs_feed_history_lost(struct cs_feed *f, uint64_t now_us);
 /* A call failed or got no answer. */
 void cs_feed_failed(struct cs_feed *f, uint64_t now_us);
+/*
+ * Another instance of the zone watches the store and knows this revision; 0: none does. A follower
+ * makes no calls unless it stays behind.
+ */
+void cs_feed_follow(struct cs_feed *f, uint64_t revision, uint64_t now_us);
+/* Changes after revision from up to revision to were handed on. True if they are to be taken. */
+bool cs_feed_relayed(struct cs_feed *f, uint64_t from, uint64_t to, uint64_t now_us);
 /* How long a server stays usable whose entry is found missing now, in us. */
 uint64_t cs_feed_keep_us(const struct cs_feed *f, uint64_t now_us);
+/* True if an own call was answered a moment ago. */
+bool cs_feed_is_fresh(const struct cs_feed *f, uint64_t now_us);
 /* True if every call was answered for so long that nothing can have lapsed unseen. */
 bool cs_feed_is_steady(const struct cs_feed *f, uint64_t now_us);
 /* True while the store does not answer. */
--- a/lib/steer/members.c
+++ b/lib/steer/members.c
@@ -12,6 +12,12 @@
 #define HEARD_US (1500 * CS_US_PER_MS)
 /* Unlisted and silent instances are forgotten after this time. */
 #define FORGET_US (10 * CS_US_PER_S)
+/* A pace stated longer ago says nothing. */
+#define PACE_AGE_MAX_MS 1000
+/* Up to this many instances, each reports to each. */
+#define MESH_MAX 16
+/* Digests older than this are left out. */
+#define DIGEST_MAX_US (2000 * CS_US_PER_MS)
 /* Callers are told of at least this many instances, if there are so many. */
 #define NAMED_MIN 2
 
@@ -20,6 +26,9 @@
 	return m->heard_us > 0 && now_us - m->heard_us < HEARD_US;
 }
 
+/* In a large fleet, an instance of another zone is in that zone's digest. */
+static bool member_in_digest(const struct cs_steer *s, const struct member *m, uint64_t now_us);
+
 static struct member *find_member(struct cs_steer *s, const char *name)
 {
 	struct member *m;
@@ -74,26 +83,28 @@
 	m->m.ready = r->ready;
 	m->m.leaving = r->leaving;
 	m->m.store_steady = r->store_steady;
+	m->store_fresh = r->store_fresh;
+	m->store_revision = r->store_revision;
 	m->seq = r->seq;
 	m->heard_us = now_us;
 	m->report = *r;
 }
 
-/* Adds one instance's rows to the servers' sums. */
-static void sum_rows(struct cs_steer *s, const struct member *m)
+/* Adds the rows of a report that came at heard_us to the servers' sums. */
+static void sum_rows(struct cs_steer *s, const struct cs_steer_report *r, uint64_t heard_us)
 {
 	const struct cs_report_row *row;
 	struct cs_backend *b;
 	uint64_t stated;
 	unsigned i;
 
-	for (i = 0; i < m->report.n_rows; i++) {
-		row = &m->report.rows[i];
+	for (i = 0; i < r->n_rows; i++) {
+		row = &r->rows[i];
 		b = servers_by_key(s, row->server);
 		if (b == NULL)
 			continue;
 		b->peers_in_flight += row->in_flight;
-		stated = m->heard_us - row->pace_age_ms * CS_US_PER_MS;
+		stated = heard_us - row->pace_age_ms * CS_US_PER_MS;
 		if (row->pace_pct > 0 && stated > b->load_us) {
 			b->load.pace_pct = row->pace_pct;
 			b->load.running = b->load.waiting = 0;
@@ -103,12 +114,24 @@
 	}
 }
 
+static bool digest_heard(const struct zone_digest *d, uint64_t now_us);
+
+static bool member_in_digest(const struct cs_steer *s, const struct member *m, uint64_t now_us)
+{
+	return digest_heard(s->digests[m->zone], now_us);
+}
+
+static bool digest_heard(const struct zone_digest *d, uint64_t now_us)
+{
+	return d != NULL && now_us - d->heard_us < DIGEST_MAX_US;
+}
+
 void members_sum(struct cs_steer *s, uint64_t now_us)
 {
 	struct cs_steer_service *svc;
 	struct member *m, *next;
 	struct cs_backend *b;
-	unsigned n = 1;
+	unsigned n = 1, i;
 
 	FOREACH_BACKEND(s, svc, b)
 	b->peers_in_flight = 0;
@@ -119,13 +142,108 @@
 			continue;
 		}
 		n++;
-		if (member_heard(s, m, now_us) && now_us - m->heard_us < PEER_REPORT_MAX_US)
-			sum_rows(s, m);
+		if (now_us - m->heard_us < PEER_REPORT_MAX_US && !member_in_digest(s, m, now_us))
+			sum_rows(s, &m->report, m->heard_us);
 	}
+	for (i = 0; i < s->n_zones; i++)
+		if (digest_heard(s->digests[i], now_us))
+			sum_rows(s, &s->digests[i]->report, s->digests[i]->heard_us);
 	if (n > s->most_members)
 		s->most_members = n;
 }
 
+/* Work for a service that a report states. */
+static double report_work(const struct cs_steer_report *r, uint32_t service)
+{
+	unsigned i;
+
+	for (i = 0; i < r->n_services; i++)
+		if (r->services[i].service == service)
+			return r->services[i].work;
+	return 0;
+}
+
+void members_demand(const struct cs_steer *s, uint32_t service, double demand[], uint64_t now_us)
+{
+	const struct member *m;
+	unsigned i;
+
+	TAILQ_FOREACH(m, &s->members, entry)
+		if (member_heard(s, m, now_us) && !member_in_digest(s, m, now_us))
+			demand[m->region] += report_work(&m->report, service);
+	for (i = 0; i < s->n_zones; i++)
+		if (digest_heard(s->digests[i], now_us))
+			demand[s->zone_region[i]] += report_work(&s->digests[i]->report, service);
+}
+
+bool cs_steer_is_large(const struct cs_steer *s)
+{
+	const struct member *m;
+	unsigned n = 1;
+
+	TAILQ_FOREACH(m, &s->members, entry)
+		n++;
+	return n > MESH_MAX;
+}
+
+/* Weight of an instance in the order of its zone. */
+static uint64_t rank_weight(uint32_t key)
+{
+	return cs_hash(&key, sizeof(key), 1);
+}
+
+unsigned cs_steer_rank(const struct cs_steer *s, uint64_t now_us)
+{
+	uint64_t own = rank_weight(s->key);
+	const struct member *m;
+	unsigned rank = 0;
+
+	TAILQ_FOREACH(m, &s->members, entry)
+		if (m->zone == s->zone && m->m.ready && !m->m.leaving &&
+		    member_heard(s, m, now_us) && rank_weight(m->key) > own)
+			rank++;
+	return rank;
+}
+
+/* True if the zone's digest names the instance as ready. */
+static bool named_ready(const struct zone_digest *d, uint32_t key)
+{
+	unsigned i;
+
+	for (i = 0; i < d->report.n_ready; i++)
+		if (d->report.ready_members[i] == key)
+			return true;
+	return false;
+}
+
+const char *cs_steer_digest_target(const struct cs_steer *s, unsigned zone, uint64_t now_us)
+{
+	const struct zone_digest *d = s->digests[zone];
+	const struct member *m, *best = NULL;
+
+	TAILQ_FOREACH(m, &s->members, entry) {
+		if (m->zone != zone || !m->listed)
+			continue;
+		if (digest_heard(d, now_us) && !named_ready(d, m->key))
+			continue;
+		if (best == NULL || rank_weight(m->key) > rank_weight(best->key))
+			best = m;
+	}
+	return best != NULL ? best->m.name : NULL;
+}
+
+uint64_t cs_steer_watched_revision(const struct cs_steer *s, uint64_t now_us)
+{
+	const struct member *m;
+	uint64_t revision = 0;
+
+	TAILQ_FOREACH(m, &s->members, entry)
+		if (m->zone == s->zone && m->store_fresh && !m->m.leaving &&
+		    now_us - m->heard_us < PEER_REPORT_MAX_US && m->store_revision > revision)
+			revision = m->store_revision;
+	return revision;
+}
+
 bool cs_steer_store_steady(const struct cs_steer *s, uint64_t now_us)
 {
 	const struct member *m;
@@ -158,14 +276,14 @@
 	FOREACH_BACKEND(s, svc, b)
 	{
 		age = (now_us - b->load_us) / CS_US_PER_MS;
-		if (b->in_flight == 0 && (b->load_us == 0 || age > 1000))
+		if (b->in_flight == 0 && (b->load_us == 0 || age > PACE_AGE_MAX_MS))
 			continue;
 		if (r->n_rows == CS_REPORT_ROWS)
 			return;
 		row = &r->rows[r->n_rows++];
 		*row = (struct cs_report_row){.server = b->key,
 					      .in_flight = (uint16_t)b->in_flight};
-		if (b->load_us > 0 && age <= 1000) {
+		if (b->load_us > 0 && age <= PACE_AGE_MAX_MS) {
 			row->pace_pct = (uint16_t)b->load.pace_pct;
 			row->pace_age_ms = (uint16_t)age;
 		}
@@ -192,6 +310,101 @@
 	report_rows(s, r, now_us);
 }
 
+/* Adds a member's rows to a digest's. */
+static void digest_rows(struct cs_steer_report *to, const struct cs_steer_report *from,
+			uint64_t heard_us, uint64_t now_us)
+{
+	const struct cs_report_row *row;
+	struct cs_report_row *sum;
+	uint64_t age;
+	unsigned i, k;
+
+	for (i = 0; i < from->n_rows; i++) {
+		row = &from->rows[i];
+		for (k = 0; k < to->n_rows && to->rows[k].server != row->server; k++)
+			;
+		if (k == CS_REPORT_ROWS)
+			continue;
+		sum = &to->rows[k];
+		if (k == to->n_rows) {
+			to->n_rows++;
+			*sum = (struct cs_report_row){.server = row->server};
+		}
+		sum->in_flight += row->in_flight;
+		age = row->pace_age_ms + (now_us - heard_us) / CS_US_PER_MS;
+		if (row->pace_pct == 0 || age > PACE_AGE_MAX_MS ||
+		    (sum->pace_pct > 0 && sum->pace_age_ms <= age))
+			continue;
+		sum->pace_pct = row->pace_pct;
+		sum->pace_age_ms = (uint16_t)age;
+	}
+}
+
+/* Adds a member's work to a digest's. */
+static void digest_work(struct cs_steer_report *to, const struct cs_steer_report *from)
+{
+	unsigned i, k;
+
+	for (i = 0; i < from->n_services; i++) {
+		for (k = 0; k < to->n_services; k++)
+			if (to->services[k].service == from->services[i].service)
+				break;
+		if (k == CS_REPORT_SERVICES)
+			continue;
+		if (k == to->n_services)
+			to->services[to->n_services++] =
+				(struct cs_report_service){.service = from->services[i].service};
+		to->services[k].work += from->services[i].work;
+	}
+}
+
+void cs_steer_digest_out(struct cs_steer *s, struct cs_steer_report *r, uint64_t now_us)
+{
+	const struct member *m;
+	unsigned i;
+
+	cs_steer_report_out(s, r, now_us);
+	for (i = 0; i < r->n_services; i++)
+		r->services[i].n_shares = 0;
+	r->digest = true;
+	r->n_ready = 0;
+	r->ready_members[r->n_ready++] = s->key;
+	TAILQ_FOREACH(m, &s->members, entry) {
+		if (m->zone != s->zone || !member_heard(s, m, now_us))
+			continue;
+		digest_rows(r, &m->report, m->heard_us, now_us);
+		digest_work(r, &m->report);
+		if (m->m.ready && !m->m.leaving && r->n_ready < CS_DIGEST_READY)
+			r->ready_members[r->n_ready++] = m->key;
+	}
+}
+
+void cs_steer_digest_in(struct cs_steer *s, const struct cs_steer_report *r, uint64_t now_us)
+{
+	const struct member *from = find_member(s, r->name);
+	struct zone_digest *d;
+	struct member *m;
+
+	if (from == NULL || from->zone == s->zone)
+		return;
+	d = s->digests[from->zone];
+	if (d == NULL)
+		d = s->digests[from->zone] = cs_xcalloc(1, sizeof(*d));
+	if (strcmp(d->sender, r->name) == 0 && r->boot == d->report.boot && r->seq <= d->seq)
+		return;
+	cs_copy(d->sender, sizeof(d->sender), r->name);
+	d->seq = r->seq;
+	d->heard_us = now_us;
+	d->report = *r;
+	TAILQ_FOREACH(m, &s->members, entry) {
+		if (m->zone != from->zone || !named_ready(d, m->key))
+			continue;
+		m->heard_us = now_us;
+		m->m.ready = true;
+		m->m.leaving = false;
+	}
+}
+
 /* Distance class of an instance from a caller: own zone, own region, elsewhere. */
 static unsigned distance(const struct cs_steer *s, const struct member *m, int zone,
 			 const char *region)
--- a/lib/steer/regions.c
+++ b/lib/steer/regions.c
@@ -36,19 +36,12 @@
 static double demand_sum(const struct cs_steer *s, const struct cs_steer_service *svc,
 			 double demand[], uint64_t now_us)
 {
-	const struct member *m;
 	double sum = 0;
 	unsigned i;
 
 	memset(demand, 0, CS_REGIONS_MAX * sizeof(*demand));
 	demand[s->region] = svc->rate * svc->work_us / CS_US_PER_S;
-	TAILQ_FOREACH(m, &s->members, entry) {
-		if (!member_heard(s, m, now_us))
-			continue;
-		for (i = 0; i < m->report.n_services; i++)
-			if (m->report.services[i].service == svc->key)
-				demand[m->region] += m->report.services[i].work;
-	}
+	members_demand(s, svc->key, demand, now_us);
 	for (i = 0; i < s->n_regions; i++)
 		sum += demand[i];
 	return sum;
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -93,10 +93,20 @@
 	bool listed;
 	uint64_t heard_us; /* 0: never */
 	uint64_t seq;
+	bool store_fresh;
+	uint64_t store_revision;
 	struct cs_steer_report report;
 };
 TAILQ_HEAD(member_list, member);
 
+/* What the other zones' digests say, by zone. */
+struct zone_digest {
+	uint64_t heard_us; /* 0: never */
+	char sender[CS_NAME_MAX];
+	uint64_t seq;
+	struct cs_steer_report report;
+};
+
 /* What was learned of a route; kept by name from document to document. */
 struct route_state {
 	double debt[CS_PARTS_MAX]; /* what each part is behind its weight, in requests */
@@ -121,6 +131,7 @@
 	struct backend_keys keys;
 	unsigned n_backends;
 	struct member_list members;
+	struct zone_digest *digests[CS_ZONES_MAX]; /* NULL: none came */
 	unsigned most_members; /* largest number known lately, this one included */
 	struct cs_rng rng;
 	uint64_t started_us;
@@ -188,6 +199,8 @@
 
 /* members.c */
 void members_sum(struct cs_steer *s, uint64_t now_us);
+/* Demand of each region for a service in busy slots, added to what is there. */
+void members_demand(const struct cs_steer *s, uint32_t service, double demand[], uint64_t now_us);
 bool member_heard(const struct cs_steer *s, const struct member *m, uint64_t now_us);
 
 #endif
--- a/lib/steer/steer.c
+++ b/lib/steer/steer.c
@@ -80,6 +80,7 @@
 	struct cs_steer_service *svc;
 	struct cs_backend *b;
 	struct member *m;
+	unsigned i;
 
 	if (s == NULL)
 		return;
@@ -95,6 +96,8 @@
 		TAILQ_REMOVE(&s->members, m, entry);
 		free(m);
 	}
+	for (i = 0; i < CS_ZONES_MAX; i++)
+		free(s->digests[i]);
 	cs_document_destroy(s->doc);
 	free(s->routes);
 	free(s);
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -228,14 +228,24 @@
 	float shares[CS_REGIONS_MAX]; /* of its requests, by region in the order of the settings */
 	unsigned n_shares;
 };
-/* What one instance tells the others, several times a second. */
+/* Instances of one zone that a digest names. */
+#define CS_DIGEST_READY 128
+/*
+ * What one instance tells the others, several times a second; or, as a digest, what one instance of
+ * a zone tells the other zones of all instances there.
+ */
 struct cs_steer_report {
-	char name[CS_NAME_MAX];
+	char name[CS_NAME_MAX]; /* sender */
 	uint64_t boot;
 	uint64_t seq;
 	bool ready;
 	bool leaving;
 	bool store_steady;
+	bool store_fresh; /* it watches the store and had an answer a moment ago */
+	uint64_t store_revision; /* that it knows */
+	bool digest;
+	uint32_t ready_members[CS_DIGEST_READY]; /* digest: low halves of the hashes of names */
+	unsigned n_ready;
 	struct cs_report_service services[CS_REPORT_SERVICES];
 	unsigned n_services;
 	struct cs_report_row rows[CS_REPORT_ROWS];
@@ -246,8 +256,27 @@
 void cs_steer_member_gone(struct cs_steer *s, const char *name, uint64_t now_us);
 /* A report came; one of an older boot or sequence number is dropped. */
 void cs_steer_report_in(struct cs_steer *s, const struct cs_steer_report *r, uint64_t now_us);
-/* Fills this instance's report, except for name, boot, seq and flags. */
+/* Fills this instance's report, except for name, boot, seq, flags and revision. */
 void cs_steer_report_out(struct cs_steer *s, struct cs_steer_report *r, uint64_t now_us);
+/*
+ * In a large fleet only the instances of a zone report to each other; then one of them sends
+ * digests to one instance of each other zone, which hands them on.
+ */
+bool cs_steer_is_large(const struct cs_steer *s);
+/* Fills a digest of the own zone, with the same exceptions. */
+void cs_steer_digest_out(struct cs_steer *s, struct cs_steer_report *r, uint64_t now_us);
+/* A digest came, from its sender or handed on. */
+void cs_steer_digest_in(struct cs_steer *s, const struct cs_steer_report *r, uint64_t now_us);
+/*
+ * Place of this instance among those heard in its zone, in an order that all of them share; 0 sends
+ * the digests, 0 and 1 watch the store.
+ */
+unsigned cs_steer_rank(const struct cs_steer *s, uint64_t now_us);
+/* Name of the instance of a zone that gets digests; NULL if none is known. */
+const char *cs_steer_digest_target(const struct cs_steer *s, unsigned zone, uint64_t now_us);
+/* Highest revision of the store known to an instance of the own zone that watches it; 0: none
+ * watches. */
+uint64_t cs_steer_watched_revision(const struct cs_steer *s, uint64_t now_us);
 /* True if another instance, heard a moment ago, had the store all the time. */
 bool cs_steer_store_steady(const struct cs_steer *s, uint64_t now_us);
 /* Instances that were heard of lately, this one included. */
--- a/src/node/feed.c
+++ b/src/node/feed.c
@@ -3,9 +3,13 @@
 #include <string.h>
 
 #include "src/node/node.h"
+#include "src/node/wire.h"
 
 /* One watch follows the document, the servers, the evacuations and the instances. */
 #define ALL_KEYS ""
+/* Instances of a zone that watch the store; the others follow them. */
+#define WATCHERS 2
+
 struct node_feed {
 	struct node *node;
 	struct cs_feed state;
@@ -15,6 +19,7 @@
 	bool evacuated_named[CS_ZONES_MAX]; /* in the reading that is going on */
 	bool away_told;
 	uint64_t document_refused; /* version that could not be read last */
+	uint64_t relayed_keep_us; /* of the changes being taken, if they were handed on */
 };
 
 static void on_next(struct cs_timer *t, void *arg);
@@ -46,6 +51,16 @@
 	return f->state.known;
 }
 
+uint64_t feed_revision(const struct node_feed *f)
+{
+	return f->state.revision;
+}
+
+bool feed_fresh(const struct node_feed *f)
+{
+	return cs_feed_is_fresh(&f->state, cs_mono_us());
+}
+
 bool feed_steady(const struct node_feed *f)
 {
 	return cs_feed_is_steady(&f->state, cs_mono_us());
@@ -66,6 +81,11 @@
 
 	if (f->call != NULL)
 		return;
+	/* In a small fleet nearly every instance would watch anyway. */
+	if (cs_steer_is_large(n->steer) && cs_steer_rank(n->steer, now) >= WATCHERS)
+		cs_feed_follow(&f->state, cs_steer_watched_revision(n->steer, now), now);
+	else
+		cs_feed_follow(&f->state, 0, now);
 	cs_feed_next(&f->state, now, &step);
 	switch (step.kind) {
 	case CS_FEED_PAUSE:
@@ -145,6 +165,8 @@
  */
 static uint64_t keep_us(const struct node_feed *f, uint64_t now)
 {
+	if (f->relayed_keep_us > 0)
+		return f->relayed_keep_us;
 	return cs_steer_store_steady(f->node->steer, now) ? 0 : cs_feed_keep_us(&f->state, now);
 }
 
@@ -217,7 +239,7 @@
 	cs_event(n->events, CS_EVENT_KEEP, "instance.listed", "name=%s zone=%s boot=%llu", name,
 		 m.zone, (unsigned long long)m.boot);
 	cs_steer_member(n->steer, &m, now);
-	gossip_peer(n->gossip, name, &reports);
+	gossip_peer(n->gossip, name, m.zone, &reports);
 }
 
 static void take_item(struct node_feed *f, const struct platform_item *it, uint64_t now)
@@ -278,19 +300,44 @@
 	cs_timer_start(n->timers, &f->next, 0);
 }
 
+void feed_relayed(struct node_feed *f, const struct wire_changes *c)
+{
+	uint64_t now = cs_mono_us(), known = f->state.revision;
+	struct platform_item it;
+	unsigned i;
+
+	if (f->call != NULL || !cs_feed_relayed(&f->state, c->from, c->to, now))
+		return;
+	f->relayed_keep_us = c->keep_ms * CS_US_PER_MS;
+	for (i = 0; i < c->n; i++) {
+		if (c->change[i].revision <= known)
+			continue;
+		it = (struct platform_item){.key = c->change[i].key,
+					    .value = (char *)(uintptr_t)c->change[i].value,
+					    .len = c->change[i].len,
+					    .revision = c->change[i].revision};
+		take_item(f, &it, now);
+	}
+	f->relayed_keep_us = 0;
+}
+
 static void on_watch(const struct platform_answer *a, void *arg)
 {
 	struct node_feed *f = arg;
 	struct node *n = f->node;
-	uint64_t now = cs_mono_us();
+	uint64_t now = cs_mono_us(), from;
 	unsigned i;
 
 	f->call = NULL;
 	switch (a->status) {
 	case PLATFORM_OK:
+		from = f->state.revision;
 		cs_feed_watched(&f->state, a->revision, a->n_items, now);
 		for (i = 0; i < a->n_items; i++)
 			take_item(f, &a->items[i], now);
+		if (a->n_items > 0 && cs_steer_is_large(n->steer) && !f->state.following)
+			gossip_changes(n->gossip, a->items, a->n_items, from, f->state.revision,
+				       (unsigned)(keep_us(f, now) / CS_US_PER_MS));
 		tell_store(f, a);
 		break;
 	case PLATFORM_HISTORY_LOST:
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -1,7 +1,6 @@
-/* Reports between instances: UDP datagrams of msgpack, from each to each. */
+/* Reports, digests and changes of the store between instances: who gets what, and how often. */
 #include <arpa/inet.h>
 #include <errno.h>
-#include <msgpack.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,24 +8,24 @@
 #include <unistd.h>
 
 #include "src/node/node.h"
+#include "src/node/wire.h"
 
-#define REPORT_FORMAT 1
-/* Flags of a report. */
-#define FLAG_READY 1
-#define FLAG_LEAVING 2
-#define FLAG_STORE_STEADY 4
-/* Reports are sent this often while there are few instances. */
+/* Reports are sent this often. */
 #define PERIOD_US (150 * CS_US_PER_MS)
-/* Beyond this many instances the period grows with their number, so that traffic stays bounded. */
-#define PERIOD_PEERS 10
-#define PERIOD_MAX_US (700 * CS_US_PER_MS)
-#define DATAGRAM_MAX 8192
+/* In a large fleet, where each instance reports to its zone only. */
+#define PERIOD_LARGE_US (250 * CS_US_PER_MS)
+/* Digests of a zone for the other zones. */
+#define DIGEST_US (400 * CS_US_PER_MS)
+/* Bytes of changes in one datagram, and what a change takes besides key and value. */
+#define CHANGES_BYTES (WIRE_DATAGRAM_MAX - 256)
+#define CHANGE_OVERHEAD 24
 /* Datagrams read in one turn of the loop. */
 #define READ_ROUNDS 64
 
 struct peer {
 	TAILQ_ENTRY(peer) entry;
 	char name[CS_NAME_MAX];
+	char zone[CS_NAME_MAX];
 	struct sockaddr_in at;
 	bool listed;
 	uint64_t heard_us; /* last report from it, or when it was listed */
@@ -37,12 +36,15 @@
 	int fd;
 	uint16_t port;
 	ev_io io;
-	struct cs_timer timer;
+	struct cs_timer timer, digest_timer;
 	uint64_t seq;
+	bool large; /* reports stay in the zone */
 	TAILQ_HEAD(, peer) peers;
 	unsigned n_peers;
 	msgpack_sbuffer buf;
-	struct cs_steer_report report; /* being sent or read */
+	struct cs_steer_report out; /* being sent */
+	struct wire_message in; /* being read */
+	struct wire_changes changes; /* being sent */
 };
 
 /* An unlisted peer that is not heard for this time gets no more reports. */
@@ -50,6 +52,7 @@
 
 static void on_input(struct ev_loop *loop, ev_io *w, int events);
 static void on_timer(struct cs_timer *t, void *arg);
+static void on_digest_timer(struct cs_timer *t, void *arg);
 
 /* Binds the first free port of the range for traffic between instances. */
 static bool bind_port(struct node_gossip *g, struct cs_msg *msg)
@@ -93,7 +96,9 @@
 	g->io.data = g;
 	ev_io_start(n->loop, &g->io);
 	cs_timer_init(&g->timer, on_timer, g);
-	cs_timer_start(n->timers, &g->timer, PERIOD_US);
+	cs_timer_start_every(n->timers, &g->timer, PERIOD_US);
+	cs_timer_init(&g->digest_timer, on_digest_timer, g);
+	cs_timer_start_every(n->timers, &g->digest_timer, DIGEST_US);
 	return g;
 }
 
@@ -114,6 +119,7 @@
 		peer_free(g, p);
 	ev_io_stop(g->node->loop, &g->io);
 	cs_timer_stop(&g->timer);
+	cs_timer_stop(&g->digest_timer);
 	msgpack_sbuffer_destroy(&g->buf);
 	close(g->fd);
 	free(g);
@@ -134,7 +140,8 @@
 	return NULL;
 }
 
-void gossip_peer(struct node_gossip *g, const char *name, const struct platform_endpoint *at)
+void gossip_peer(struct node_gossip *g, const char *name, const char *zone,
+		 const struct platform_endpoint *at)
 {
 	struct peer *p = find_peer(g, name);
 
@@ -144,6 +151,7 @@
 		TAILQ_INSERT_TAIL(&g->peers, p, entry);
 		g->n_peers++;
 	}
+	cs_copy(p->zone, sizeof(p->zone), zone);
 	p->at = (struct sockaddr_in){.sin_family = AF_INET, .sin_port = htons(at->port)};
 	if (inet_pton(AF_INET, at->addr, &p->at.sin_addr) != 1) {
 		peer_free(g, p);
@@ -162,213 +170,220 @@
 		p->listed = false;
 }
 
-static void pack_text(msgpack_packer *pk, const char *s)
+static void send_to(struct node_gossip *g, const struct peer *p, const char *data, size_t len)
 {
-	size_t n = strlen(s);
-
-	msgpack_pack_str(pk, n);
-	msgpack_pack_str_body(pk, s, n);
+	if (len <= WIRE_DATAGRAM_MAX && sendto(g->fd, data, len, MSG_DONTWAIT,
+					       (const struct sockaddr *)&p->at, sizeof(p->at)) > 0)
+		(*g->node->stats.reports_out)++;
 }
 
-static void pack_services(msgpack_packer *pk, const struct cs_steer_report *r)
+/* True if reports go straight to the peer; those of other zones get digests in a large fleet. */
+static bool is_near(const struct node_gossip *g, const struct peer *p)
 {
-	const struct cs_report_service *svc;
-	unsigned i, k;
-
-	msgpack_pack_array(pk, r->n_services);
-	for (i = 0; i < r->n_services; i++) {
-		svc = &r->services[i];
-		msgpack_pack_array(pk, 2 + svc->n_shares);
-		msgpack_pack_uint32(pk, svc->service);
-		msgpack_pack_float(pk, svc->work);
-		for (k = 0; k < svc->n_shares; k++)
-			msgpack_pack_float(pk, svc->shares[k]);
-	}
+	return !g->large || strcmp(p->zone, g->node->settings.zone) == 0;
 }
 
-static void pack_rows(msgpack_packer *pk, const struct cs_steer_report *r)
+/* Sets what a report and a digest have in common. */
+static void fill_sender(struct node_gossip *g, struct cs_steer_report *r)
 {
-	const struct cs_report_row *row;
-	unsigned i;
+	struct cs_steer_member self;
 
-	msgpack_pack_array(pk, r->n_rows * 4);
-	for (i = 0; i < r->n_rows; i++) {
-		row = &r->rows[i];
-		msgpack_pack_uint32(pk, row->server);
-		msgpack_pack_uint16(pk, row->in_flight);
-		msgpack_pack_uint16(pk, row->pace_pct);
-		msgpack_pack_uint16(pk, row->pace_age_ms);
-	}
+	node_self(g->node, &self);
+	cs_copy(r->name, sizeof(r->name), self.name);
+	r->boot = self.boot;
+	r->seq = ++g->seq;
+	r->ready = self.ready;
+	r->leaving = self.leaving;
+	r->store_steady = self.store_steady;
+	r->store_fresh = feed_fresh(g->node->feed);
+	r->store_revision = feed_revision(g->node->feed);
 }
 
-/* Encodes this instance's report into the buffer. */
-static void encode(struct node_gossip *g)
+static void send_near(struct node_gossip *g)
 {
-	struct cs_steer_report *r = &g->report;
-	struct cs_steer_member self;
-	msgpack_packer pk;
+	struct peer *p;
 
-	node_self(g->node, &self);
-	cs_steer_report_out(g->node->steer, r, cs_mono_us());
-	msgpack_sbuffer_clear(&g->buf);
-	msgpack_packer_init(&pk, &g->buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 7);
-	msgpack_pack_int(&pk, REPORT_FORMAT);
-	pack_text(&pk, self.name);
-	msgpack_pack_uint64(&pk, self.boot);
-	msgpack_pack_uint64(&pk, ++g->seq);
-	msgpack_pack_int(&pk, (self.ready ? FLAG_READY : 0) | (self.leaving ? FLAG_LEAVING : 0) |
-				      (self.store_steady ? FLAG_STORE_STEADY : 0));
-	pack_services(&pk, r);
-	pack_rows(&pk, r);
+	TAILQ_FOREACH(p, &g->peers, entry)
+		if (is_near(g, p))
+			send_to(g, p, g->buf.data, g->buf.size);
 }
 
-void gossip_now(struct node_gossip *g)
+/* Forgets peers that are neither listed nor heard. */
+static void drop_silent(struct node_gossip *g)
 {
-	struct node *n = g->node;
 	uint64_t now = cs_mono_us();
 	struct peer *p, *next;
 
-	encode(g);
-	TAILQ_FOREACH_SAFE(p, &g->peers, entry, next) {
-		if (!p->listed && now - p->heard_us > PEER_KEEP_US) {
+	TAILQ_FOREACH_SAFE(p, &g->peers, entry, next)
+		if (!p->listed && now - p->heard_us > PEER_KEEP_US)
 			peer_free(g, p);
-			continue;
-		}
-		if (g->buf.size <= DATAGRAM_MAX &&
-		    sendto(g->fd, g->buf.data, g->buf.size, MSG_DONTWAIT, (struct sockaddr *)&p->at,
-			   sizeof(p->at)) > 0)
-			(*n->stats.reports_out)++;
-	}
 }
 
-static void on_timer(struct cs_timer *t, void *arg)
+void gossip_now(struct node_gossip *g)
 {
-	struct node_gossip *g = arg;
-	uint64_t period = PERIOD_US;
-
-	gossip_now(g);
-	if (g->n_peers > PERIOD_PEERS)
-		period = period * g->n_peers / PERIOD_PEERS;
-	if (period > PERIOD_MAX_US)
-		period = PERIOD_MAX_US;
-	cs_timer_start(g->node->timers, t, period);
+	struct cs_steer_report *r = &g->out;
+
+	drop_silent(g);
+	if (g->large != cs_steer_is_large(g->node->steer)) {
+		g->large = !g->large;
+		cs_timer_start_every(g->node->timers, &g->timer,
+				     g->large ? PERIOD_LARGE_US : PERIOD_US);
+	}
+	memset(r, 0, sizeof(*r));
+	cs_steer_report_out(g->node->steer, r, cs_mono_us());
+	fill_sender(g, r);
+	wire_pack_report(&g->buf, r);
+	send_near(g);
 }
 
-static bool is_uint(const msgpack_object *o, uint64_t max)
+/* Sends the zone's digest to one instance of each other zone. */
+static void send_digest(struct node_gossip *g)
 {
-	return o->type == MSGPACK_OBJECT_POSITIVE_INTEGER && o->via.u64 <= max;
+	struct cs_steer *steer = g->node->steer;
+	struct cs_steer_report *r = &g->out;
+	uint64_t now = cs_mono_us();
+	const char *name;
+	struct peer *p;
+	unsigned i;
+
+	memset(r, 0, sizeof(*r));
+	cs_steer_digest_out(steer, r, now);
+	fill_sender(g, r);
+	wire_pack_report(&g->buf, r);
+	for (i = 0; i < g->node->settings.n_zones; i++) {
+		if (strcmp(g->node->settings.zones[i].name, g->node->settings.zone) == 0)
+			continue;
+		name = cs_steer_digest_target(steer, i, now);
+		p = name != NULL ? find_peer(g, name) : NULL;
+		if (p != NULL)
+			send_to(g, p, g->buf.data, g->buf.size);
+	}
 }
 
-static bool is_float(const msgpack_object *o)
+static void on_digest_timer(struct cs_timer *t, void *arg)
 {
-	return o->type == MSGPACK_OBJECT_FLOAT32 || o->type == MSGPACK_OBJECT_FLOAT64;
+	struct node_gossip *g = arg;
+
+	if (g->large && cs_steer_rank(g->node->steer, cs_mono_us()) == 0)
+		send_digest(g);
 }
 
-static bool read_services(const msgpack_object *o, struct cs_steer_report *r)
+static void on_timer(struct cs_timer *t, void *arg)
 {
-	struct cs_report_service *svc;
-	const msgpack_object_array *row;
-	uint32_t i, k;
-
-	r->n_services = 0;
-	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size > CS_REPORT_SERVICES)
-		return false;
-	for (i = 0; i < o->via.array.size; i++) {
-		row = &o->via.array.ptr[i].via.array;
-		if (o->via.array.ptr[i].type != MSGPACK_OBJECT_ARRAY || row->size < 2 ||
-		    row->size > 2 + CS_REGIONS_MAX || !is_uint(&row->ptr[0], UINT32_MAX) ||
-		    !is_float(&row->ptr[1]))
-			return false;
-		svc = &r->services[r->n_services++];
-		svc->service = (uint32_t)row->ptr[0].via.u64;
-		svc->work = (float)row->ptr[1].via.f64;
-		svc->n_shares = row->size - 2;
-		for (k = 0; k < svc->n_shares; k++) {
-			if (!is_float(&row->ptr[2 + k]))
-				return false;
-			svc->shares[k] = (float)row->ptr[2 + k].via.f64;
-		}
-	}
-	return true;
+	gossip_now(arg);
 }
 
-static bool read_rows(const msgpack_object *o, struct cs_steer_report *r)
+/* A digest that came from another zone is handed on to this one. */
+static void hand_on(struct node_gossip *g, const struct peer *from, const char *data, size_t len)
 {
-	const msgpack_object *v;
-	uint32_t i;
+	struct peer *p;
 
-	r->n_rows = 0;
-	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size % 4 != 0 ||
-	    o->via.array.size > 4 * CS_REPORT_ROWS)
-		return false;
-	for (i = 0; i < o->via.array.size; i += 4) {
-		v = &o->via.array.ptr[i];
-		if (!is_uint(&v[0], UINT32_MAX) || !is_uint(&v[1], UINT16_MAX) ||
-		    !is_uint(&v[2], UINT16_MAX) || !is_uint(&v[3], UINT16_MAX))
-			return false;
-		r->rows[r->n_rows++] =
-			(struct cs_report_row){(uint32_t)v[0].via.u64, (uint16_t)v[1].via.u64,
-					       (uint16_t)v[2].via.u64, (uint16_t)v[3].via.u64};
-	}
-	return true;
+	if (from == NULL || strcmp(from->zone, g->node->settings.zone) == 0)
+		return;
+	TAILQ_FOREACH(p, &g->peers, entry)
+		if (is_near(g, p))
+			send_to(g, p, data, len);
 }
 
-/* Reads a report; false if it is malformed. Unknown trailing elements are ignored. */
-static bool decode(const msgpack_object *root, struct cs_steer_report *r)
+/* Peer that sends from an address; a digest's first sender may be another one. */
+static struct peer *find_sender(struct node_gossip *g, const struct sockaddr_in *at)
 {
-	const msgpack_object *v = root->via.array.ptr;
+	struct peer *p;
 
-	if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size < 7 ||
-	    !is_uint(&v[0], UINT32_MAX) || v[0].via.u64 != REPORT_FORMAT ||
-	    v[1].type != MSGPACK_OBJECT_STR || v[1].via.str.size >= sizeof(r->name) ||
-	    !is_uint(&v[2], UINT64_MAX) || !is_uint(&v[3], UINT64_MAX) || !is_uint(&v[4], 255))
-		return false;
-	memcpy(r->name, v[1].via.str.ptr, v[1].via.str.size);
-	r->name[v[1].via.str.size] = '\0';
-	r->boot = v[2].via.u64;
-	r->seq = v[3].via.u64;
-	r->ready = v[4].via.u64 & FLAG_READY;
-	r->leaving = v[4].via.u64 & FLAG_LEAVING;
-	r->store_steady = v[4].via.u64 & FLAG_STORE_STEADY;
-	return read_services(&v[5], r) && read_rows(&v[6], r);
+	TAILQ_FOREACH(p, &g->peers, entry)
+		if (p->at.sin_port == at->sin_port && p->at.sin_addr.s_addr == at->sin_addr.s_addr)
+			return p;
+	return NULL;
 }
 
-static void take_datagram(struct node_gossip *g, const char *data, size_t len)
+static void take_datagram(struct node_gossip *g, const char *data, size_t len,
+			  const struct sockaddr_in *at)
 {
+	struct wire_message *m = &g->in;
 	struct node *n = g->node;
 	uint64_t now = cs_mono_us();
-	msgpack_unpacked msg;
-	struct peer *p;
-	size_t off = 0;
-	bool ok;
-
-	msgpack_unpacked_init(&msg);
-	ok = msgpack_unpack_next(&msg, data, len, &off) == MSGPACK_UNPACK_SUCCESS &&
-	     decode(&msg.data, &g->report);
-	msgpack_unpacked_destroy(&msg);
-	if (!ok) {
+	struct peer *p = find_sender(g, at);
+
+	if (!wire_unpack(data, len, m)) {
 		cs_event(n->events, CS_EVENT_KEEP, "report.refused", "bytes=%zu", len);
 		return;
 	}
 	(*n->stats.reports_in)++;
-	p = find_peer(g, g->report.name);
 	if (p != NULL)
 		p->heard_us = now;
-	cs_steer_report_in(n->steer, &g->report, now);
+	switch (m->kind) {
+	case WIRE_REPORT:
+		cs_steer_report_in(n->steer, &m->u.report, now);
+		break;
+	case WIRE_DIGEST:
+		cs_steer_digest_in(n->steer, &m->u.report, now);
+		hand_on(g, p, data, len);
+		break;
+	case WIRE_CHANGES:
+		feed_relayed(n->feed, &m->u.changes);
+		break;
+	}
 }
 
 static void on_input(struct ev_loop *loop, ev_io *w, int events)
 {
 	struct node_gossip *g = w->data;
-	char data[DATAGRAM_MAX];
+	struct sockaddr_in at;
+	socklen_t size;
+	char data[WIRE_DATAGRAM_MAX];
 	ssize_t n;
 	int i;
 
 	for (i = 0; i < READ_ROUNDS; i++) {
-		n = recv(g->fd, data, sizeof(data), MSG_DONTWAIT);
+		size = sizeof(at);
+		n = recvfrom(g->fd, data, sizeof(data), MSG_DONTWAIT, (struct sockaddr *)&at,
+			     &size);
 		if (n <= 0)
 			return;
-		take_datagram(g, data, (size_t)n);
+		take_datagram(g, data, (size_t)n, &at);
+	}
+}
+
+/* Sends the changes collected so far, if there are any. */
+static void flush_changes(struct node_gossip *g, struct wire_changes *c)
+{
+	if (c->n == 0)
+		return;
+	wire_pack_changes(&g->buf, c);
+	send_near(g);
+	c->from = c->to;
+	c->n = 0;
+}
+
+void gossip_changes(struct node_gossip *g, const struct platform_item *items, unsigned n,
+		    uint64_t from, uint64_t to, unsigned keep_ms)
+{
+	struct wire_changes *c = &g->changes;
+	size_t bytes = 0, more;
+	unsigned i;
+
+	*c = (struct wire_changes){.from = from, .to = from, .keep_ms = keep_ms};
+	cs_copy(c->name, sizeof(c->name), g->node->settings.instance);
+	for (i = 0; i < n; i++) {
+		more = strlen(items[i].key) + items[i].len + CHANGE_OVERHEAD;
+		if (bytes + more > CHANGES_BYTES || c->n == WIRE_CHANGES_MAX) {
+			flush_changes(g, c);
+			bytes = 0;
+		}
+		/* Too large for a datagram: those behind see the gap and ask the store. */
+		if (more > CHANGES_BYTES) {
+			c->from = c->to = items[i].revision;
+			continue;
+		}
+		cs_copy(c->change[c->n].key, sizeof(c->change[c->n].key), items[i].key);
+		c->change[c->n].revision = items[i].revision;
+		c->change[c->n].value = items[i].value;
+		c->change[c->n].len = items[i].len;
+		c->n++;
+		c->to = items[i].revision;
+		bytes += more;
 	}
+	if (c->n > 0)
+		c->to = to;
+	flush_changes(g, c);
 }
--- a/src/node/member.c
+++ b/src/node/member.c
@@ -6,8 +6,8 @@
 #include "src/node/node.h"
 
 /* Lease of the key. Liveness comes from reports; the lease only clears what is gone for good. */
-#define LEASE_MS 5000
-#define RENEW_US (1500 * CS_US_PER_MS)
+#define LEASE_MS 9000
+#define RENEW_US (2500 * CS_US_PER_MS)
 /* Pause after a failed call. */
 #define RETRY_US (400 * CS_US_PER_MS)
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -164,6 +164,12 @@
 struct node_feed *feed_create(struct node *n);
 void feed_destroy(struct node_feed *f);
 bool feed_known(const struct node_feed *f);
+/* Revision of the store that is known; and whether an own call said so a moment ago. */
+uint64_t feed_revision(const struct node_feed *f);
+bool feed_fresh(const struct node_feed *f);
+/* Changes came from the instance of the zone that watches. */
+struct wire_changes;
+void feed_relayed(struct node_feed *f, const struct wire_changes *c);
 /* Every call to the store was answered for some seconds. */
 bool feed_steady(const struct node_feed *f);
 bool feed_away(const struct node_feed *f);
@@ -180,8 +186,12 @@
 struct node_gossip *gossip_create(struct node *n, struct cs_msg *msg);
 void gossip_destroy(struct node_gossip *g);
 uint16_t gossip_port(const struct node_gossip *g);
-void gossip_peer(struct node_gossip *g, const char *name, const struct platform_endpoint *at);
+void gossip_peer(struct node_gossip *g, const char *name, const char *zone,
+		 const struct platform_endpoint *at);
 void gossip_peer_gone(struct node_gossip *g, const char *name);
+/* Hands changes of the store on to the instances that follow this one. */
+void gossip_changes(struct node_gossip *g, const struct platform_item *items, unsigned n,
+		    uint64_t from, uint64_t to, unsigned keep_ms);
 /* Tells the others now, as when this instance leaves. */
 void gossip_now(struct node_gossip *g);
 
--- /dev/null
+++ b/src/node/wire.c
@@ -0,0 +1,285 @@
+/* Packing and unpacking of messages between instances. */
+#include <string.h>
+
+#include "src/node/wire.h"
+
+#define FORMAT 2
+/* Elements of each kind of message. */
+#define REPORT_ELEMENTS 10
+#define CHANGES_ELEMENTS 7
+/* Elements of a row and of a change in their flat arrays. */
+#define ROW_ELEMENTS 4
+#define CHANGE_ELEMENTS 3
+/* Flags of a report. */
+#define FLAG_READY 1
+#define FLAG_LEAVING 2
+#define FLAG_STORE_STEADY 4
+#define FLAG_STORE_FRESH 8
+
+static void pack_text(msgpack_packer *pk, const char *s)
+{
+	size_t n = strlen(s);
+
+	msgpack_pack_str(pk, n);
+	msgpack_pack_str_body(pk, s, n);
+}
+
+static void pack_services(msgpack_packer *pk, const struct cs_steer_report *r)
+{
+	const struct cs_report_service *svc;
+	unsigned i, k;
+
+	msgpack_pack_array(pk, r->n_services);
+	for (i = 0; i < r->n_services; i++) {
+		svc = &r->services[i];
+		msgpack_pack_array(pk, 2 + svc->n_shares);
+		msgpack_pack_uint32(pk, svc->service);
+		msgpack_pack_float(pk, svc->work);
+		for (k = 0; k < svc->n_shares; k++)
+			msgpack_pack_float(pk, svc->shares[k]);
+	}
+}
+
+static void pack_rows(msgpack_packer *pk, const struct cs_steer_report *r)
+{
+	const struct cs_report_row *row;
+	unsigned i;
+
+	msgpack_pack_array(pk, r->n_rows * ROW_ELEMENTS);
+	for (i = 0; i < r->n_rows; i++) {
+		row = &r->rows[i];
+		msgpack_pack_uint32(pk, row->server);
+		msgpack_pack_uint16(pk, row->in_flight);
+		msgpack_pack_uint16(pk, row->pace_pct);
+		msgpack_pack_uint16(pk, row->pace_age_ms);
+	}
+}
+
+static int report_flags(const struct cs_steer_report *r)
+{
+	return (r->ready ? FLAG_READY : 0) | (r->leaving ? FLAG_LEAVING : 0) |
+	       (r->store_steady ? FLAG_STORE_STEADY : 0) | (r->store_fresh ? FLAG_STORE_FRESH : 0);
+}
+
+void wire_pack_report(msgpack_sbuffer *buf, const struct cs_steer_report *r)
+{
+	unsigned i, n = r->digest ? r->n_ready : 0;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_clear(buf);
+	msgpack_packer_init(&pk, buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, REPORT_ELEMENTS);
+	msgpack_pack_int(&pk, FORMAT);
+	msgpack_pack_int(&pk, r->digest ? WIRE_DIGEST : WIRE_REPORT);
+	pack_text(&pk, r->name);
+	msgpack_pack_uint64(&pk, r->boot);
+	msgpack_pack_uint64(&pk, r->seq);
+	msgpack_pack_int(&pk, report_flags(r));
+	msgpack_pack_uint64(&pk, r->store_revision);
+	pack_services(&pk, r);
+	pack_rows(&pk, r);
+	msgpack_pack_array(&pk, n);
+	for (i = 0; i < n; i++)
+		msgpack_pack_uint32(&pk, r->ready_members[i]);
+}
+
+void wire_pack_changes(msgpack_sbuffer *buf, const struct wire_changes *c)
+{
+	const struct wire_change *ch;
+	msgpack_packer pk;
+	unsigned i;
+
+	msgpack_sbuffer_clear(buf);
+	msgpack_packer_init(&pk, buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, CHANGES_ELEMENTS);
+	msgpack_pack_int(&pk, FORMAT);
+	msgpack_pack_int(&pk, WIRE_CHANGES);
+	pack_text(&pk, c->name);
+	msgpack_pack_uint64(&pk, c->from);
+	msgpack_pack_uint64(&pk, c->to);
+	msgpack_pack_uint32(&pk, c->keep_ms);
+	msgpack_pack_array(&pk, c->n * CHANGE_ELEMENTS);
+	for (i = 0; i < c->n; i++) {
+		ch = &c->change[i];
+		pack_text(&pk, ch->key);
+		msgpack_pack_uint64(&pk, ch->revision);
+		if (ch->value == NULL) {
+			msgpack_pack_nil(&pk);
+			continue;
+		}
+		msgpack_pack_bin(&pk, ch->len);
+		msgpack_pack_bin_body(&pk, ch->value, ch->len);
+	}
+}
+
+static bool is_uint(const msgpack_object *o, uint64_t max)
+{
+	return o->type == MSGPACK_OBJECT_POSITIVE_INTEGER && o->via.u64 <= max;
+}
+
+static bool is_float(const msgpack_object *o)
+{
+	return o->type == MSGPACK_OBJECT_FLOAT32 || o->type == MSGPACK_OBJECT_FLOAT64;
+}
+
+static bool is_array(const msgpack_object *o, uint32_t most)
+{
+	return o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size <= most;
+}
+
+static bool read_text(const msgpack_object *o, char *out, size_t size)
+{
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size)
+		return false;
+	memcpy(out, o->via.str.ptr, o->via.str.size);
+	out[o->via.str.size] = '\0';
+	return true;
+}
+
+static bool read_service(const msgpack_object *o, struct cs_report_service *svc)
+{
+	const msgpack_object *v = o->via.array.ptr;
+	uint32_t k;
+
+	if (!is_array(o, 2 + CS_REGIONS_MAX) || o->via.array.size < 2 ||
+	    !is_uint(&v[0], UINT32_MAX) || !is_float(&v[1]))
+		return false;
+	svc->service = (uint32_t)v[0].via.u64;
+	svc->work = (float)v[1].via.f64;
+	svc->n_shares = o->via.array.size - 2;
+	for (k = 0; k < svc->n_shares; k++) {
+		if (!is_float(&v[2 + k]))
+			return false;
+		svc->shares[k] = (float)v[2 + k].via.f64;
+	}
+	return true;
+}
+
+static bool read_services(const msgpack_object *o, struct cs_steer_report *r)
+{
+	uint32_t i;
+
+	if (!is_array(o, CS_REPORT_SERVICES))
+		return false;
+	for (i = 0; i < o->via.array.size; i++)
+		if (!read_service(&o->via.array.ptr[i], &r->services[r->n_services++]))
+			return false;
+	return true;
+}
+
+static bool read_rows(const msgpack_object *o, struct cs_steer_report *r)
+{
+	const msgpack_object *v;
+	uint32_t i;
+
+	if (!is_array(o, ROW_ELEMENTS * CS_REPORT_ROWS) || o->via.array.size % ROW_ELEMENTS != 0)
+		return false;
+	for (i = 0; i < o->via.array.size; i += ROW_ELEMENTS) {
+		v = &o->via.array.ptr[i];
+		if (!is_uint(&v[0], UINT32_MAX) || !is_uint(&v[1], UINT16_MAX) ||
+		    !is_uint(&v[2], UINT16_MAX) || !is_uint(&v[3], UINT16_MAX))
+			return false;
+		r->rows[r->n_rows++] =
+			(struct cs_report_row){(uint32_t)v[0].via.u64, (uint16_t)v[1].via.u64,
+					       (uint16_t)v[2].via.u64, (uint16_t)v[3].via.u64};
+	}
+	return true;
+}
+
+static bool read_ready(const msgpack_object *o, struct cs_steer_report *r)
+{
+	uint32_t i;
+
+	if (!is_array(o, CS_DIGEST_READY))
+		return false;
+	for (i = 0; i < o->via.array.size; i++) {
+		if (!is_uint(&o->via.array.ptr[i], UINT32_MAX))
+			return false;
+		r->ready_members[r->n_ready++] = (uint32_t)o->via.array.ptr[i].via.u64;
+	}
+	return true;
+}
+
+static bool read_report(const msgpack_object *v, uint32_t n, struct cs_steer_report *r)
+{
+	memset(r, 0, sizeof(*r));
+	if (n < REPORT_ELEMENTS || !read_text(&v[2], r->name, sizeof(r->name)) ||
+	    !is_uint(&v[3], UINT64_MAX) || !is_uint(&v[4], UINT64_MAX) || !is_uint(&v[5], 255) ||
+	    !is_uint(&v[6], UINT64_MAX))
+		return false;
+	r->boot = v[3].via.u64;
+	r->seq = v[4].via.u64;
+	r->ready = v[5].via.u64 & FLAG_READY;
+	r->leaving = v[5].via.u64 & FLAG_LEAVING;
+	r->store_steady = v[5].via.u64 & FLAG_STORE_STEADY;
+	r->store_fresh = v[5].via.u64 & FLAG_STORE_FRESH;
+	r->store_revision = v[6].via.u64;
+	return read_services(&v[7], r) && read_rows(&v[8], r) && read_ready(&v[9], r);
+}
+
+static bool read_change(const msgpack_object *v, struct wire_change *ch)
+{
+	if (!read_text(&v[0], ch->key, sizeof(ch->key)) || !is_uint(&v[1], UINT64_MAX))
+		return false;
+	ch->revision = v[1].via.u64;
+	ch->value = NULL;
+	ch->len = 0;
+	if (v[2].type == MSGPACK_OBJECT_NIL)
+		return true;
+	if (v[2].type != MSGPACK_OBJECT_BIN)
+		return false;
+	ch->value = v[2].via.bin.ptr;
+	ch->len = v[2].via.bin.size;
+	return true;
+}
+
+static bool read_changes(const msgpack_object *v, uint32_t n, struct wire_changes *c)
+{
+	uint32_t i;
+
+	memset(c, 0, sizeof(*c));
+	if (n < CHANGES_ELEMENTS || !read_text(&v[2], c->name, sizeof(c->name)) ||
+	    !is_uint(&v[3], UINT64_MAX) || !is_uint(&v[4], UINT64_MAX) ||
+	    !is_uint(&v[5], UINT32_MAX) || !is_array(&v[6], CHANGE_ELEMENTS * WIRE_CHANGES_MAX) ||
+	    v[6].via.array.size % CHANGE_ELEMENTS != 0)
+		return false;
+	c->from = v[3].via.u64;
+	c->to = v[4].via.u64;
+	c->keep_ms = (unsigned)v[5].via.u64;
+	for (i = 0; i < v[6].via.array.size; i += CHANGE_ELEMENTS)
+		if (!read_change(&v[6].via.array.ptr[i], &c->change[c->n++]))
+			return false;
+	return true;
+}
+
+bool wire_unpack(const char *data, size_t len, struct wire_message *out)
+{
+	const msgpack_object *v;
+	msgpack_unpacked msg;
+	size_t off = 0;
+	bool ok = false;
+	uint32_t n;
+
+	msgpack_unpacked_init(&msg);
+	if (msgpack_unpack_next(&msg, data, len, &off) != MSGPACK_UNPACK_SUCCESS ||
+	    msg.data.type != MSGPACK_OBJECT_ARRAY || msg.data.via.array.size < 2)
+		goto out;
+	v = msg.data.via.array.ptr;
+	n = msg.data.via.array.size;
+	if (!is_uint(&v[0], UINT32_MAX) || v[0].via.u64 != FORMAT || !is_uint(&v[1], 255))
+		goto out;
+	out->kind = (enum wire_kind)v[1].via.u64;
+	switch (out->kind) {
+	case WIRE_REPORT:
+	case WIRE_DIGEST:
+		ok = read_report(v, n, &out->u.report);
+		out->u.report.digest = out->kind == WIRE_DIGEST;
+		break;
+	case WIRE_CHANGES:
+		ok = read_changes(v, n, &out->u.changes);
+		break;
+	}
+out:
+	msgpack_unpacked_destroy(&msg);
+	return ok;
+}
--- /dev/null
+++ b/tests/unit/test-node-wire.c
@@ -0,0 +1,107 @@
+/* Messages between instances (src/node/wire.c): round trips and malformed datagrams. */
+#include <glib.h>
+#include <string.h>
+
+#include "src/node/wire.h"
+
+static struct cs_steer_report report;
+static struct wire_changes changes;
+static struct wire_message msg;
+
+static void fill_report(bool digest)
+{
+	memset(&report, 0, sizeof(report));
+	cs_copy(report.name, sizeof(report.name), "lom-brescia-1");
+	report.boot = 1789507142034ULL;
+	report.seq = 7;
+	report.ready = report.store_fresh = true;
+	report.store_revision = 99;
+	report.n_services = 1;
+	report.services[0] = (struct cs_report_service){
+		.service = 5, .work = 2.5F, .shares = {0.25F, 0.75F}, .n_shares = 2};
+	report.n_rows = 2;
+	report.rows[0] = (struct cs_report_row){1, 2, 100, 30};
+	report.rows[1] = (struct cs_report_row){0xffffffffU, 0xffff, 250, 999};
+	report.digest = digest;
+	report.n_ready = digest ? 3 : 0;
+	report.ready_members[2] = digest ? 42 : 0;
+}
+
+/* Guards against fields that are lost or mixed up on the way. */
+static void test_report(void)
+{
+	msgpack_sbuffer buf;
+	int digest;
+
+	msgpack_sbuffer_init(&buf);
+	for (digest = 0; digest < 2; digest++) {
+		fill_report(digest);
+		wire_pack_report(&buf, &report);
+		g_assert_true(wire_unpack(buf.data, buf.size, &msg));
+		g_assert_cmpint(msg.kind, ==, digest ? WIRE_DIGEST : WIRE_REPORT);
+		g_assert_cmpmem(&msg.u.report, sizeof(report), &report, sizeof(report));
+	}
+	msgpack_sbuffer_destroy(&buf);
+}
+
+/* Guards against values of changes that are cut or shifted, and removals taken for values. */
+static void test_changes(void)
+{
+	msgpack_sbuffer buf;
+
+	memset(&changes, 0, sizeof(changes));
+	cs_copy(changes.name, sizeof(changes.name), "i1");
+	changes.from = 10;
+	changes.to = 12;
+	changes.keep_ms = 1500;
+	changes.n = 2;
+	cs_copy(changes.change[0].key, sizeof(changes.change[0].key), "servers/x");
+	changes.change[0].revision = 11;
+	changes.change[0].value = "{\"a\":1}";
+	changes.change[0].len = 7;
+	cs_copy(changes.change[1].key, sizeof(changes.change[1].key), "servers/y");
+	changes.change[1].revision = 12;
+	msgpack_sbuffer_init(&buf);
+	wire_pack_changes(&buf, &changes);
+	g_assert_true(wire_unpack(buf.data, buf.size, &msg));
+	g_assert_cmpint(msg.kind, ==, WIRE_CHANGES);
+	g_assert_cmpuint(msg.u.changes.n, ==, 2);
+	g_assert_cmpuint(msg.u.changes.keep_ms, ==, 1500);
+	g_assert_cmpmem(msg.u.changes.change[0].value, msg.u.changes.change[0].len, "{\"a\":1}", 7);
+	g_assert_null(msg.u.changes.change[1].value);
+	msgpack_sbuffer_destroy(&buf);
+}
+
+/* Guards against reads past the end or crashes on datagrams that were changed on the way. */
+static void test_malformed(void)
+{
+	msgpack_sbuffer buf;
+	struct cs_rng rng;
+	char copy[WIRE_DATAGRAM_MAX];
+	size_t i, n;
+	int round;
+
+	msgpack_sbuffer_init(&buf);
+	fill_report(true);
+	wire_pack_report(&buf, &report);
+	g_assert_cmpuint(buf.size, <=, sizeof(copy));
+	for (i = 0; i < buf.size; i++)
+		g_assert_false(wire_unpack(buf.data, i, &msg));
+	cs_rng_seed(&rng, 11);
+	for (round = 0; round < 20000; round++) {
+		memcpy(copy, buf.data, buf.size);
+		for (n = 1 + cs_rng_below(&rng, 4); n > 0; n--)
+			copy[cs_rng_below(&rng, (uint32_t)buf.size)] = (char)cs_rng_next(&rng);
+		wire_unpack(copy, buf.size, &msg);
+	}
+	msgpack_sbuffer_destroy(&buf);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/node/wire/report", test_report);
+	g_test_add_func("/node/wire/changes", test_changes);
+	g_test_add_func("/node/wire/malformed", test_malformed);
+	return g_test_run();
+}
--- a/tests/unit/test-steer.c
+++ b/tests/unit/test-steer.c
@@ -397,6 +397,83 @@
 	g_assert_cmpuint(longest, <=, MS(1000));
 }
 
+/* Guards against followers that call the store all the time, or miss what was not handed on. */
+static void test_feed_follower(void)
+{
+	struct cs_feed_step step;
+	uint64_t now = MS(1000);
+	struct cs_feed f;
+
+	cs_feed_init(&f, 1, now);
+	cs_feed_read(&f, 10, false, now);
+	cs_feed_follow(&f, 10, now);
+	cs_feed_next(&f, now, &step);
+	g_assert_cmpint(step.kind, ==, CS_FEED_PAUSE);
+	/* Handed on without a gap: taken once. */
+	g_assert_true(cs_feed_relayed(&f, 10, 12, now));
+	g_assert_false(cs_feed_relayed(&f, 10, 12, now));
+	/* With a gap: not taken, and the store is asked soon. */
+	g_assert_false(cs_feed_relayed(&f, 14, 15, now));
+	cs_feed_follow(&f, 15, now);
+	now += MS(300);
+	cs_feed_follow(&f, 15, now);
+	cs_feed_next(&f, now, &step);
+	g_assert_cmpint(step.kind, ==, CS_FEED_WATCH);
+	g_assert_cmpuint(step.after, ==, 12);
+	cs_feed_watched(&f, 15, 1, now);
+	/* Nobody watches any more: it does itself. */
+	now += MS(300);
+	cs_feed_follow(&f, 0, now);
+	cs_feed_next(&f, now, &step);
+	g_assert_cmpint(step.kind, ==, CS_FEED_WATCH);
+}
+
+/* Guards against two zones' figures being lost or counted twice when a zone sends its digest. */
+static void test_digest(void)
+{
+	static struct cs_steer_report r;
+	uint64_t now = MS(1000);
+	struct cs_steer *a = fixture_create("i1", "a1", now), *b = fixture_create("j1", "b1", now);
+	struct cs_steer_ask ask;
+	struct cs_steer_decision d;
+	char name[16];
+	int i;
+
+	for (i = 0; i < 20; i++) {
+		g_snprintf(name, sizeof(name), "m%d", i);
+		fixture_member(a, name, "c1", now);
+	}
+	g_assert_true(cs_steer_is_large(a));
+	cs_steer_document(a, fixture_document(1, NULL), now);
+	cs_steer_document(b, fixture_document(1, NULL), now);
+	fixture_server(a, "s1", "a1", 0, now);
+	fixture_server(b, "s1", "a1", 0, now);
+	fixture_member(b, "i1", "a1", now);
+	fixture_run(a, &now, MS(1200));
+	for (i = 0; i < 2; i++) {
+		fixture_ask(a, &ask, 0, now);
+		cs_steer_decide(a, &ask, now, &d);
+		g_assert_cmpint(d.verdict, ==, CS_STEER_SEND);
+	}
+	memset(&r, 0, sizeof(r));
+	cs_steer_digest_out(a, &r, now);
+	g_assert_cmpuint(r.n_rows, ==, 1);
+	g_assert_cmpuint(r.n_ready, ==, 1);
+	cs_copy(r.name, sizeof(r.name), "i1");
+	r.boot = 1;
+	r.seq = 1;
+	cs_steer_digest_in(b, &r, now);
+	cs_steer_digest_in(b, &r, now);
+	fixture_run(b, &now, now + MS(200));
+	fixture_ask(b, &ask, 0, now);
+	cs_steer_decide(b, &ask, now, &d);
+	/* The other zone's requests fill the server's usable part. */
+	g_assert_cmpint(d.verdict, !=, CS_STEER_SEND);
+	cs_steer_forget(b, &ask);
+	cs_steer_destroy(a);
+	cs_steer_destroy(b);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -414,6 +491,8 @@
 	g_test_add_func("/steer/routes", test_routes);
 	g_test_add_func("/steer/feed/pages", test_feed_pages);
 	g_test_add_func("/steer/feed/away", test_feed_away);
+	g_test_add_func("/steer/feed/follower", test_feed_follower);
+	g_test_add_func("/steer/digest", test_digest);
 	g_test_add_func("/steer/feed/returns-soon", test_feed_returns_soon);
 	return g_test_run();
 }
