tests: a stand-in of the users' platform, and scripts for cassia-node's path and stop

The stand-in speaks the store's protocol (ranges, watches, leases, transactions, history lost) and runs servers that shed, answer with errors, without signature or with another id. Found by it: a request with two Host or two deadline headers was taken with one of them; it is refused with 400 now.

--- a/src/node/front.c
+++ b/src/node/front.c
@@ -49,6 +49,7 @@
 struct scan {
 	size_t bytes;
 	unsigned n;
+	unsigned hosts, deadlines, ids;
 	const char *connection;
 	bool bad; /* a value that cannot be passed on */
 };
@@ -61,11 +62,20 @@
 	s->n++;
 	if (strcasecmp(name, "Connection") == 0)
 		s->connection = value;
+	s->hosts += strcasecmp(name, "Host") == 0;
+	s->deadlines += strcasecmp(name, PLATFORM_H_DEADLINE) == 0;
+	s->ids += strcasecmp(name, PLATFORM_H_REQUEST_ID) == 0;
 	if (*name == '\0' || !check_value(value))
 		s->bad = true;
 	return true;
 }
 
+/* What a second value would make ambiguous comes at most once. */
+static bool scan_is_good(const struct scan *s)
+{
+	return !s->bad && s->hosts <= 1 && s->deadlines <= 1 && s->ids <= 1;
+}
+
 /* Second pass: lines for libcurl, one after another in one block. */
 struct writer {
 	const char *connection;
@@ -193,7 +203,7 @@
 	if (id != NULL)
 		cs_copy(req->id, sizeof(req->id), id);
 	cs_call_headers(call, scan_line, &s);
-	if (s.bad || !read_framing(req) || !read_deadline(call, &budget_ms) ||
+	if (!scan_is_good(&s) || !read_framing(req) || !read_deadline(call, &budget_ms) ||
 	    !check_target(cs_call_target(call)) || !check_method(cs_call_method(call))) {
 		front_error(req, 400, "bad_request", 0);
 		return;
--- /dev/null
+++ b/tests/run/node-lib.sh
@@ -0,0 +1,72 @@
+# Shared by check.d/node-*.sh: a stand-in of the users' platform (store and four servers in two zones) and
+# instances of cassia-node beside it, on loopback addresses of their own. Sourced, not run.
+# shellcheck source=tests/run/proxy-lib.sh
+. "$(dirname "${BASH_SOURCE[0]}")/proxy-lib.sh"
+store=127.$run.9.1
+control=http://$store:8142/control
+
+start_platform() {
+	start platform "$build/bin/standin-platform" "$store" 8142
+	wait_for 5 curl -sSf "$control/state" || echo "the platform's stand-in does not answer"
+}
+
+# write_settings N ZONE: settings file of instance N at 127.RUN.N.1.
+write_settings() {
+	cat >"$dir/node$1.json" <<-JSON
+	{"node-name":"front-$2-$1","zone":"$2","region":"r$2","ip-address":"127.$run.$1.1",
+	 "internal-port-range":[7660,7675],"zones":{"z1":"rz1","z2":"rz2"},
+	 "listen":{"front":"127.$run.$1.1:8144","ready":"127.$run.$1.1:8140","directory":"127.$run.$1.1:8143"},
+	 "limits":{"file-descriptors":1024},
+	 "bounds":{"retry-budget-ratio":0.2,"budget-window-s":10,"budget-extra-retries":60,"max-shift":0.15,
+	  "cold-overrun":1.5,"cold-slack":5,"ttl_max_s":5,"stable-window-ms":3000,"grace-period-s":6},
+	 "platform":{"address":"$store:8142","min-ttl-ms":1000}}
+	JSON
+}
+
+# start_node N ZONE
+start_node() {
+	write_settings "$1" "$2"
+	start "node$1" "${NODE:-$build/bin/cassia-node}" --settings "$dir/node$1.json" --metrics-port 9464
+}
+
+ready() { curl -sSf "http://127.$run.$1.1:8140/v1/readiness"; }
+
+# document VERSION [TIMEOUT_MS]: the operators' document with a safe, an unsafe and an upload route.
+document() {
+	local timeout=${2:-1500} rows="" kind
+	for kind in safe unsafe upload; do
+		rows="$rows${rows:+,}{\"name\":\"r-$kind\",\"host\":\"h.example\",\"prefix\":\"/$kind/\",\"kind\":\"$kind\",
+		 \"timeout-ms\":$timeout,\"target-latency-ms\":400,\"priority\":1,\"service\":\"svc\",\"max-attempts\":2,
+		 \"sticky-sessions\":true,\"home-regions\":[]}"
+	done
+	curl -sSf "$control/put?key=op/config" -d "{\"version\":\"r$1\",\"routes\":[$rows],
+	 \"services\":[{\"name\":\"svc\",\"health-path\":\"/health\",\"connection-limit\":360,\"cold-start-s\":3.0,\"cold-per-s\":11.0}],
+	 \"limits\":{\"idle-timeout-ms\":15000}}" >/dev/null
+}
+
+# call N PATH [curl options]: a request with a fresh id, which is left in $id; prints head and body.
+call_n=0
+call() {
+	local n=$1 path=$2
+	shift 2
+	call_n=$((call_n + 1))
+	curl -sS -i --max-time 8 "http://127.$run.$n.1:8144$path" -H 'Host: h.example' -H "Cassiascale-Attempt-Id: ${id:-id-$call_n}" \
+		-H 'Cassiascale-Deadline-Milliseconds: 3000' "$@" 2>&1
+}
+
+# runs ID: how often servers ran a request.
+runs() { curl -sSf "$control/state?id=$1" | jq .runs; }
+
+start_all() {
+	start_platform
+	document 5
+	start_node 1 z1
+	start_node 2 z2
+	wait_for 10 ready 1 && wait_for 10 ready 2 || echo "an instance did not get ready"
+}
+
+# The last line of a script: fails if a check failed.
+finish() {
+	ok "no error of a sanitizer or of the log" hasnt "$(cat "$dir"/node*.log)" '^<[0-3]>|ERROR: (Address|Leak)Sanitizer|runtime error'
+	exit $((failures > 0))
+}
--- /dev/null
+++ b/tests/standins/platform/server.c
@@ -0,0 +1,178 @@
+/* Backend servers as the platform's pages describe them; the query says how a request is to go. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "tests/standins/platform/platform.h"
+
+#define BODY_MAX (4 * 1024 * 1024)
+#define SLOTS 4
+
+/* One run of a request. */
+struct run {
+	LIST_ENTRY(run) entry;
+	char id[80];
+};
+static LIST_HEAD(, run) runs = LIST_HEAD_INITIALIZER(runs);
+
+struct server {
+	struct cs_timers *timers;
+	struct store *store;
+	struct cs_httpd *httpd;
+	char id[48], service[48], zone[48], addr[64];
+	unsigned running;
+	unsigned sequence;
+	bool draining;
+};
+
+/* A request at work. */
+struct work {
+	struct server *server;
+	struct cs_http_req *req;
+	struct cs_timer end;
+	char mode[16];
+};
+
+static void on_request(struct cs_http_req *req, void *arg);
+static void on_end(struct cs_timer *t, void *arg);
+
+struct server *server_create(struct ev_loop *loop, struct cs_timers *ts, struct store *st,
+			     const char *addr, const char *id, const char *service,
+			     const char *zone, struct cs_msg *msg)
+{
+	struct server *s = cs_xcalloc(1, sizeof(*s));
+
+	s->timers = ts;
+	s->store = st;
+	cs_copy(s->id, sizeof(s->id), id);
+	cs_copy(s->service, sizeof(s->service), service);
+	cs_copy(s->zone, sizeof(s->zone), zone);
+	s->httpd = cs_httpd_create(loop, ts, addr, 0, BODY_MAX, on_request, s, msg);
+	if (s->httpd == NULL) {
+		free(s);
+		return NULL;
+	}
+	snprintf(s->addr, sizeof(s->addr), "%s:%u", addr, cs_httpd_port(s->httpd));
+	server_list(s, "ready");
+	return s;
+}
+
+void server_destroy(struct server *s)
+{
+	if (s == NULL)
+		return;
+	cs_httpd_destroy(s->httpd);
+	free(s);
+}
+
+const char *server_id(const struct server *s)
+{
+	return s->id;
+}
+
+void server_list(struct server *s, const char *state)
+{
+	char key[80], value[400];
+
+	s->draining = strcmp(state, "draining") == 0;
+	snprintf(key, sizeof(key), "servers/%s", s->id);
+	snprintf(value, sizeof(value),
+		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
+		 "\"slots\":%d,\"state\":\"%s\",\"cold-remaining-ms\":0,\"sequence\":%u,"
+		 "\"born\":1000}",
+		 s->service, s->addr, s->zone, SLOTS, state, ++s->sequence);
+	store_write(s->store, key, value);
+}
+
+unsigned runs_of(const char *request_id)
+{
+	const struct run *r;
+	unsigned n = 0;
+
+	LIST_FOREACH(r, &runs, entry)
+		n += strcmp(r->id, request_id) == 0;
+	return n;
+}
+
+static void note_run(const char *id)
+{
+	struct run *r = cs_xcalloc(1, sizeof(*r));
+
+	cs_copy(r->id, sizeof(r->id), id);
+	LIST_INSERT_HEAD(&runs, r, entry);
+}
+
+/* Headers of every answer. */
+static void set_common(struct server *s, struct cs_http_req *req, const char *id)
+{
+	char load[48];
+
+	snprintf(load, sizeof(load), "%u,0,%d,100", s->running, SLOTS);
+	cs_http_set(req, "Cassiascale-Server-Load", load);
+	cs_http_set(req, "Cassiascale-Instance-Id", s->id);
+	if (id != NULL)
+		cs_http_set(req, "Cassiascale-Attempt-Id", id);
+}
+
+static void on_end(struct cs_timer *t, void *arg)
+{
+	struct work *w = arg;
+	struct server *s = w->server;
+	const char *id = cs_http_header(w->req, "Cassiascale-Attempt-Id");
+	char body[256];
+	size_t len;
+
+	s->running--;
+	snprintf(body, sizeof(body), "server=%s path=%s id=%s", s->id, cs_http_path(w->req),
+		 id ? id : "-");
+	len = strlen(body);
+	set_common(s, w->req, strcmp(w->mode, "wrong-id") == 0 ? "another" : id);
+	if (strcmp(w->mode, "no-signature") != 0)
+		cs_http_set(w->req, "Cassiascale-Response-Signature", "3e1b.07.5a2");
+	if (strcmp(w->mode, "error") == 0)
+		cs_http_reply(w->req, 500, "text/plain", body, len);
+	else if (strcmp(w->mode, "busy-ran") == 0)
+		cs_http_reply(w->req, 503, "text/plain", body, len);
+	else
+		cs_http_reply(w->req, 200, "text/plain", body, len);
+	free(w);
+}
+
+static void on_request(struct cs_http_req *req, void *arg)
+{
+	const char *expected = cs_http_header(req, "Cassiascale-Expected-Instance");
+	const char *id = cs_http_header(req, "Cassiascale-Attempt-Id");
+	const char *mode = cs_http_arg(req, "mode"), *ms = cs_http_arg(req, "ms");
+	const char *only = cs_http_arg(req, "at");
+	struct server *s = arg;
+	struct work *w;
+
+	if (strcmp(cs_http_path(req), "/health") == 0) {
+		set_common(s, req, NULL);
+		cs_http_reply(req, s->draining ? 503 : 200, "text/plain", "ok", 2);
+		return;
+	}
+	if (expected != NULL && strcmp(expected, s->id) != 0) {
+		set_common(s, req, id);
+		cs_http_reply(req, 421, "text/plain", "", 0);
+		return;
+	}
+	/* A fault may be meant for one server only. */
+	if (only != NULL && strcmp(only, s->id) != 0)
+		mode = NULL;
+	if (mode != NULL && strcmp(mode, "shed") == 0) {
+		set_common(s, req, id);
+		cs_http_set(req, "Cassiascale-Not-Executed", "1");
+		cs_http_reply(req, 503, "text/plain", "", 0);
+		return;
+	}
+	note_run(id ? id : "");
+	s->running++;
+	w = cs_xcalloc(1, sizeof(*w));
+	w->server = s;
+	w->req = req;
+	cs_copy(w->mode, sizeof(w->mode), mode ? mode : "");
+	cs_timer_init(&w->end, on_end, w);
+	cs_timer_start(s->timers, &w->end, (ms ? strtoull(ms, NULL, 10) : 1) * CS_US_PER_MS);
+}
