node: refuse header names that are no tokens; take absolute targets

Cause: libmicrohttpd keeps the space of 'Content-Length : 3' in the name and passes it on, and its strict mode does not refuse it. Seen with raw bytes in node-path.sh, which failed first.

--- a/lib/proxy/head.c
+++ b/lib/proxy/head.c
@@ -162,6 +162,16 @@
 	return i > 0 && strcmp(method, "CONNECT") != 0;
 }
 
+bool check_name(const char *name)
+{
+	const char *p;
+
+	for (p = name; *p != '\0'; p++)
+		if (!isalnum((unsigned char)*p) && strchr("!#$%&'*+-.^_`|~", *p) == NULL)
+			return false;
+	return p > name;
+}
+
 bool check_value(const char *value)
 {
 	const unsigned char *p;
--- a/lib/proxy/head.h
+++ b/lib/proxy/head.h
@@ -38,6 +38,8 @@
 bool check_target(const char *target);
 /* Method: a token of at most 16 characters, not CONNECT. */
 bool check_method(const char *method);
+/* Header name: a token; a space before the colon would be part of it. */
+bool check_name(const char *name);
 /* Header value: no control characters but tab. */
 bool check_value(const char *value);
 
--- a/lib/proxy/ingress.c
+++ b/lib/proxy/ingress.c
@@ -102,9 +102,9 @@
 		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_URI_LOG_CALLBACK, on_uri, g,
 		MHD_OPTION_UNESCAPE_CALLBACK, on_unescape, NULL, MHD_OPTION_NOTIFY_COMPLETED,
 		on_completed, g, MHD_OPTION_NOTIFY_CONNECTION, on_connection, g,
-		MHD_OPTION_CONNECTION_TIMEOUT, opts->idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)CONNECTION_MEMORY, MHD_OPTION_CONNECTION_LIMIT, opts->connections,
-		MHD_OPTION_END);
+		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_CONNECTION_TIMEOUT, opts->idle_s,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+		MHD_OPTION_CONNECTION_LIMIT, opts->connections, MHD_OPTION_END);
 	if (g->daemon == NULL) {
 		cs_msg_set(msg, "cannot start the HTTP server on %s:%u", opts->addr, opts->port);
 		close(fd);
@@ -455,6 +455,17 @@
 	}
 }
 
+/* Origin form of a target: an absolute one, which every server has to take, loses scheme and host. */
+static const char *origin_form(const char *uri)
+{
+	const char *path;
+
+	if (strncasecmp(uri, "http://", 7) != 0)
+		return uri;
+	path = strchr(uri + 7, '/');
+	return path != NULL ? path : "/";
+}
+
 /* First line of a request is in: uri is the target as received. */
 static void *on_uri(void *cls, const char *uri, struct MHD_Connection *mhd)
 {
@@ -464,7 +475,7 @@
 
 	call->owner = cls;
 	call->mhd = mhd;
-	call->target = cs_xstrdup(uri);
+	call->target = cs_xstrdup(origin_form(uri));
 	call->conn = info->socket_context;
 	if (call->conn != NULL)
 		call->conn->call = call;
--- a/lib/proxy/ingress.h
+++ b/lib/proxy/ingress.h
@@ -55,7 +55,7 @@
 void cs_call_set(struct cs_call *call, void *data);
 void *cs_call_get(const struct cs_call *call);
 const char *cs_call_method(const struct cs_call *call);
-/* Target as received. */
+/* Target in origin form, otherwise as received. */
 const char *cs_call_target(const struct cs_call *call);
 const char *cs_call_header(const struct cs_call *call, const char *name);
 const char *cs_call_cookie(const struct cs_call *call, const char *name);
--- a/src/node/front.c
+++ b/src/node/front.c
@@ -65,7 +65,7 @@
 	s->hosts += strcasecmp(name, "Host") == 0;
 	s->deadlines += strcasecmp(name, PLATFORM_H_DEADLINE) == 0;
 	s->ids += strcasecmp(name, PLATFORM_H_REQUEST_ID) == 0;
-	if (*name == '\0' || !check_value(value))
+	if (!check_name(name) || !check_value(value))
 		s->bad = true;
 	return true;
 }
--- a/src/proxyd/main.c
+++ b/src/proxyd/main.c
@@ -65,7 +65,7 @@
 static void on_gap(uint64_t gap_us, void *arg);
 
 /* Names travel in messages and headers: 1 to 47 of [A-Za-z0-9._-]. */
-static bool check_name(const char *setting, const char *value, struct cs_msg *msg)
+static bool check_setting_name(const char *setting, const char *value, struct cs_msg *msg)
 {
 	if (strlen(value) < CS_NAME_MAX && check_request_id(value))
 		return true;
@@ -84,7 +84,8 @@
 	p->address = cs_setting_text(settings, "address");
 	p->port = (uint16_t)cs_setting_int(settings, "port");
 	p->bind_source = strcmp(p->address, "127.0.0.1") != 0 && strcmp(p->address, "0.0.0.0") != 0;
-	if (!check_name("--instance", p->instance, msg) || !check_name("--zone", p->zone, msg))
+	if (!check_setting_name("--instance", p->instance, msg) ||
+	    !check_setting_name("--zone", p->zone, msg))
 		return false;
 	if (!cs_addr_parse(p->address, addr) || strchr(p->address, ':') != NULL) {
 		cs_msg_set(msg, "--address: value '%s' is not allowed; use an IPv4 address",
--- a/tests/run/check.d/node-path.sh
+++ b/tests/run/check.d/node-path.sh
@@ -14,7 +14,18 @@
 ok "an unknown path is refused" has "$(call 1 /other/)" '^HTTP/1.1 404'
 raw() { curl -sS -i --max-time 5 "http://127.$run.1.1:8144/safe/x" "$@"; }
 ok "an unknown host too" has "$(raw -H 'Host: g.example')" '^HTTP/1.1 404'
-ok "two hosts are refused" has "$(raw -H 'Host: h.example' -H 'Host: g.example')" '^HTTP/1.1 400'
+# Bytes as they are: curl would mend them.
+bytes() { (printf '%b' "$1" >&3 && timeout 2 cat <&3) 3<>"/dev/tcp/127.$run.1.1/8144" 2>/dev/null; }
+get='GET /safe/x HTTP/1.1\r\n'
+ok "two hosts are refused" has "$(bytes "${get}Host: h.example\r\nHost: g.example\r\n\r\n")" '^HTTP/1.1 400'
+ok "a space before the colon is refused" has "$(bytes "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nContent-Length : 3\r\n\r\nabc")" '^HTTP/1.1 400'
+ok "a negative length is refused" has "$(bytes "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: -3\r\n\r\nabc")" '^HTTP/1.1 400'
+ok "length and chunks together are refused" has "$(bytes "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")" '^HTTP/1.1 400'
+# RFC 9112, section 5.2: refused, or joined before it goes on.
+ok "a folded header is joined" has "$(bytes "${get}Host: h.example\r\nX-A: b\r\n c\r\n\r\n")" '^HTTP/1.1 200'
+a=$(bytes "GET http://h.example/safe/x HTTP/1.1\r\nHost: h.example\r\n\r\n")
+ok "an absolute target is taken" has "$a" '^HTTP/1.1 200'
+ok "and names the path to the server" has "$a" 'path=/safe/x'
 ok "a deadline that cannot be read" has "$(raw -H 'Host: h.example' -H 'Cassiascale-Deadline-Milliseconds: -5')" '^HTTP/1.1 400'
 
 id=b1
