cassiactl explain: the story of a request from the logs of cassia-node

Reads logs (files or standard input), orders the lines of one request over several instances, adds what its instance believed of the servers and the store in the 10 s before, and names the cause. Late answers, repeats and rejected heads are always logged now; on-time answers in part.

--- a/src/ctl/cmd-explain.c
+++ b/src/ctl/cmd-explain.c
@@ -3,11 +3,16 @@
 #include <string.h>
 
 #include "src/ctl/fleet.h"
+#include "src/ctl/story.h"
 
 static char *opt_from;
+static char **opt_logs;
 
 static const GOptionEntry options[] = {
 	{"from", 0, 0, G_OPTION_ARG_STRING, &opt_from, "Ask this instance only", "NAME"},
+	{"logs", 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &opt_logs,
+	 "Tell a request's story from logs of cassia-node (- for standard input; may be repeated)",
+	 "FILE"},
 	{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
 };
 
@@ -132,6 +137,8 @@
 	struct ctl_doc doc = {0};
 	int rc;
 
+	if (opt_logs != NULL)
+		return story_tell(ctl, argv[0], opt_logs);
 	rc = ctl_doc_load(ctl, &doc);
 	if (rc == CTL_OK)
 		rc = ctl_fleet_load(ctl, 0, &fleet);
@@ -150,7 +157,8 @@
 	.summary = "Show why proxies decide as they do for a class, or the outcome of a request",
 	.examples = "  cassiactl explain bookings\n"
 		    "  cassiactl explain bookings --from lom-brescia-1 --json\n"
-		    "  cassiactl explain 7f3c0a (the X-Request-Id of an answer)",
+		    "  cassiactl explain 7f3c0a (the X-Request-Id of an answer)\n"
+		    "  cassiactl explain 36d4aa0494c81ce9 --logs front-1.log --logs front-2.log",
 	.options = options,
 	.min_args = 1,
 	.max_args = 1,
--- a/src/node/front.c
+++ b/src/node/front.c
@@ -161,6 +161,18 @@
 	return *end == '\0';
 }
 
+/* Ends a request that is not taken on. */
+static void reject(struct request *req, unsigned status, const char *reason,
+		   unsigned retry_after_ms)
+{
+	const struct cs_document *doc = cs_steer_current(req->node->steer);
+
+	cs_event(req->node->events, CS_EVENT_KEEP, "request.rejected",
+		 "id=%s status=%u reason=%s document=%llu", req->id, status, reason,
+		 (unsigned long long)(doc != NULL ? doc->version : 0));
+	front_error(req, status, reason, retry_after_ms);
+}
+
 /* Selects the route; false after answering. */
 static bool select_route(struct request *req, unsigned budget_ms)
 {
@@ -173,13 +185,13 @@
 
 	if (doc == NULL || !feed_known(n->feed)) {
 		(*n->stats.not_ready)++;
-		front_error(req, 503, "not_ready", NOT_READY_RETRY_MS);
+		reject(req, 503, "not_ready", NOT_READY_RETRY_MS);
 		return false;
 	}
 	r = host ? cs_document_route(doc, host, cs_call_target(req->call)) : NULL;
 	if (r == NULL) {
 		(*n->stats.no_route)++;
-		front_error(req, 404, "no_route", 0);
+		reject(req, 404, "no_route", 0);
 		return false;
 	}
 	cs_copy(req->route, sizeof(req->route), r->name);
@@ -205,7 +217,7 @@
 	cs_call_headers(call, scan_line, &s);
 	if (!scan_is_good(&s) || !read_framing(req) || !read_deadline(call, &budget_ms) ||
 	    !check_target(cs_call_target(call)) || !check_method(cs_call_method(call))) {
-		front_error(req, 400, "bad_request", 0);
+		reject(req, 400, "bad_request", 0);
 		return;
 	}
 	if (!select_route(req, budget_ms))
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -263,12 +263,14 @@
 	if (!failed && late)
 		(*n->stats.late)++;
 	cs_hist_add(n->stats.latency, took);
-	cs_event(n->events, failed ? CS_EVENT_KEEP : CS_EVENT_SAMPLE, "request.answered",
+	cs_event(n->events, failed || late || req->n_sends > 1 ? CS_EVENT_KEEP : CS_EVENT_SAMPLE,
+		 "request.answered",
 		 "id=%s route=%s service=%s server=%s zone=%s object=%08x status=%u took_ms=%llu "
-		 "send_ms=%u sends=%u late=%d load=%s",
+		 "send_ms=%u target_ms=%u sends=%u late=%d load=%s",
 		 req->id, req->route, req->ask.service, s->server, cs_backend_zone(s->backend),
 		 (unsigned)req->ask.object, status, (unsigned long long)(took / CS_US_PER_MS),
-		 ms_since(s->started_us, now), req->n_sends, late, load != NULL ? load : "-");
+		 ms_since(s->started_us, now), req->ask.target_ms, req->n_sends, late,
+		 load != NULL ? load : "-");
 }
 
 /* Makes a send's whole answer the request's answer. */
