--- a/lib/proxy/linger.c
+++ b/lib/proxy/linger.c
@@ -53,11 +53,11 @@
 
 void cs_lingers_destroy(struct cs_lingers *ls)
 {
-	struct discard *l;
+	struct discard *l, *next;
 
 	if (ls == NULL)
 		return;
-	while ((l = LIST_FIRST(&ls->list)) != NULL)
+	LIST_FOREACH_SAFE(l, &ls->list, entry, next)
 		linger_destroy(l);
 	free(ls);
 }
--- a/lib/steer/members.c
+++ b/lib/steer/members.c
@@ -39,29 +39,29 @@
 	return NULL;
 }
 
-void cs_steer_member(struct cs_steer *s, const struct cs_steer_member *in, uint64_t now_us)
+void cs_steer_member(struct cs_steer *s, const struct cs_steer_member *said, uint64_t now_us)
 {
-	int zone = steer_zone(s, in->zone);
+	int zone = steer_zone(s, said->zone);
 	struct member *m;
 
-	if (zone < 0 || strcmp(in->name, s->opts.instance) == 0)
+	if (zone < 0 || strcmp(said->name, s->opts.instance) == 0)
 		return;
-	m = find_member(s, in->name);
+	m = find_member(s, said->name);
 	if (m == NULL) {
 		m = cs_xcalloc(1, sizeof(*m));
-		m->key = (uint32_t)cs_hash_str(in->name, 0);
+		m->key = (uint32_t)cs_hash_str(said->name, 0);
 		TAILQ_INSERT_TAIL(&s->members, m, entry);
-	} else if (m->m.boot != in->boot) {
+	} else if (m->m.boot != said->boot) {
 		m->heard_us = 0;
 		m->seq = 0;
 		m->report.n_rows = m->report.n_services = 0;
 	}
-	m->m = *in;
+	m->m = *said;
 	m->zone = (unsigned)zone;
 	m->region = s->zone_region[zone];
 	m->listed = true;
 	/* Listed a moment ago is as good as heard once. */
-	if (m->heard_us == 0 && in->ready)
+	if (m->heard_us == 0 && said->ready)
 		m->heard_us = now_us;
 }
 
--- a/lib/steer/place.c
+++ b/lib/steer/place.c
@@ -19,10 +19,10 @@
 static const double rank_work[RANKS + 1] = {1, 2, 2.7, 3.3};
 /*
  * With fewer objects a server than this, two servers can hold each object, and the second in rank
- * is nearly as good.
+ * takes what does not fit at the first.
  */
 #define FEW_OBJECTS 6.0
-#define SECOND_OF_FEW 1.1
+#define SECOND_OF_FEW 1.7
 /* Any other server only up to this use: work without the object takes its slots for long. */
 #define SPILL_USE_MAX 0.4
 /* A stated pace loses its meaning with this time constant. */
--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -57,7 +57,7 @@
 
 static struct cs_backend *find_id(struct cs_steer *s, const char *id)
 {
-	struct cs_backend probe;
+	struct cs_backend probe = {.key = 0};
 
 	cs_copy(probe.said.id, sizeof(probe.said.id), id);
 	return RB_FIND(backend_ids, &s->ids, &probe);
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -119,7 +119,6 @@
 /* What was learned of a route; kept by name from document to document. */
 struct route_state {
 	double debt[CS_PARTS_MAX]; /* what each part is behind its weight, in requests */
-	unsigned max_budget_ms; /* longest that callers stated */
 	double work_us; /* time of an answer, smoothed; 0: none yet */
 };
 
--- a/lib/steer/steer.c
+++ b/lib/steer/steer.c
@@ -6,8 +6,6 @@
 
 /* Time of work that is assumed before any answer was seen. */
 #define FIRST_WORK_US (400 * CS_US_PER_MS)
-/* A request whose time budget is below this part of the route's longest is a caller's second try. */
-#define RETURNED_PART 0.97
 /* Used when neither caller nor route states a limit. */
 #define DEFAULT_DEADLINE_US (10 * CS_US_PER_S)
 
@@ -136,7 +134,6 @@
 		if (strcmp(s->doc->routes[i].name, r->name) != 0)
 			continue;
 		to->work_us = s->routes[i].work_us;
-		to->max_budget_ms = s->routes[i].max_budget_ms;
 		return;
 	}
 }
@@ -204,18 +201,6 @@
 	return mask;
 }
 
-/* A caller's second try has less time left than its first had. */
-static bool is_returned(struct route_state *st, unsigned budget_ms)
-{
-	if (budget_ms == 0)
-		return false;
-	if (budget_ms >= st->max_budget_ms) {
-		st->max_budget_ms = budget_ms;
-		return false;
-	}
-	return budget_ms < st->max_budget_ms * RETURNED_PART;
-}
-
 double steer_work(const struct cs_steer *s, const struct cs_steer_ask *ask)
 {
 	const struct cs_steer_service *svc;
@@ -246,7 +231,6 @@
 	ask->max_attempts = route->max_attempts;
 	ask->sticky = route->sticky;
 	ask->home_mask = home_mask(s, route);
-	ask->returned = is_returned(st, budget_ms);
 	ask->route = (unsigned)i;
 	ask->version = s->doc->version;
 	ask->region = -1;
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -108,7 +108,6 @@
 	unsigned n_tried;
 	unsigned n_sent; /* of these, sends that may have reached their server */
 	int region; /* drawn at the first decision; -1 before */
-	bool returned; /* by its deadline, the caller's second try */
 	bool waiting;
 	uint64_t until_us; /* of the wait */
 	TAILQ_ENTRY(cs_steer_ask) entry;
@@ -252,7 +251,7 @@
 	unsigned n_rows;
 };
 /* An instance is listed in the store, or no longer. */
-void cs_steer_member(struct cs_steer *s, const struct cs_steer_member *m, uint64_t now_us);
+void cs_steer_member(struct cs_steer *s, const struct cs_steer_member *said, uint64_t now_us);
 void cs_steer_member_gone(struct cs_steer *s, const char *name, uint64_t now_us);
 /* A report came; one of an older boot or sequence number is dropped. */
 void cs_steer_report_in(struct cs_steer *s, const struct cs_steer_report *r, uint64_t now_us);
--- a/lib/steer/wait.c
+++ b/lib/steer/wait.c
@@ -11,8 +11,6 @@
 #define WORK_PART_MIN 0.5
 /* Longest wait of a request, as part of its latency target. */
 #define WAIT_PART 0.3
-/* The same for a request that its caller repeats after a refusal: it will not come a third time. */
-#define WAIT_PART_RETURNED 0.3
 /* Used for a route without a latency target. */
 #define WAIT_DEFAULT_US (200 * CS_US_PER_MS)
 /* More waiting requests than this many for each slot are refused at once. */
@@ -60,11 +58,10 @@
 static uint64_t wait_until(const struct cs_steer *s, const struct cs_steer_ask *ask)
 {
 	uint64_t wait = WAIT_DEFAULT_US, last;
-	double part = ask->returned ? WAIT_PART_RETURNED : WAIT_PART;
 	uint64_t need = (uint64_t)(WORK_PART_MIN * steer_work(s, ask));
 
 	if (ask->target_ms > 0)
-		wait = (uint64_t)(part * ask->target_ms * CS_US_PER_MS);
+		wait = (uint64_t)(WAIT_PART * ask->target_ms * CS_US_PER_MS);
 	last = ask->deadline_us > need ? ask->deadline_us - need : 0;
 	return ask->arrived_us + wait < last ? ask->arrived_us + wait : last;
 }
--- a/src/ctl/story.c
+++ b/src/ctl/story.c
@@ -78,11 +78,10 @@
 /* Inserts by time; lines of one file come nearly in order. */
 static void lines_insert(struct lines *all, struct line *l)
 {
-	struct line *at;
+	struct line *at = TAILQ_LAST(all, lines);
 
-	TAILQ_FOREACH_REVERSE(at, all, lines, entry)
-	if (at->t <= l->t)
-		break;
+	while (at != NULL && at->t > l->t)
+		at = TAILQ_PREV(at, lines, entry);
 	if (at != NULL)
 		TAILQ_INSERT_AFTER(all, at, l, entry);
 	else
@@ -209,7 +208,7 @@
 		else
 			printf("%.3f %c %s\n", l->t, l->own ? '*' : ' ', l->text);
 	}
-	cause = cause_of(last, failure);
+	cause = last != NULL ? cause_of(last, failure) : cs_xstrdup("unknown");
 	if (ctl->json)
 		ctl_print_json(json_pack("{s:O, s:s}", "lines", list, "cause", cause));
 	else
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -111,11 +111,11 @@
 
 void gossip_destroy(struct node_gossip *g)
 {
-	struct peer *p;
+	struct peer *p, *next;
 
 	if (g == NULL)
 		return;
-	while ((p = TAILQ_FIRST(&g->peers)) != NULL)
+	TAILQ_FOREACH_SAFE(p, &g->peers, entry, next)
 		peer_free(g, p);
 	ev_io_stop(g->node->loop, &g->io);
 	cs_timer_stop(&g->timer);
@@ -328,7 +328,7 @@
 static void on_input(struct ev_loop *loop, ev_io *w, int events)
 {
 	struct node_gossip *g = w->data;
-	struct sockaddr_in at;
+	struct sockaddr_in at = {.sin_family = AF_INET};
 	socklen_t size;
 	char data[WIRE_DATAGRAM_MAX];
 	ssize_t n;
