--- a/completion/cassiactl.bash
+++ b/completion/cassiactl.bash
@@ -54,7 +54,8 @@
 		burn) common="$common --window --interval --samples --record --html" ;;
 		apply) common="$common --text" ;;
 		keys) common="$common --markdown" ;;
-		locate | explain) common="$common --from" ;;
+		locate) common="$common --from" ;;
+		explain) common="$common --from --logs" ;;
 		esac
 		mapfile -t COMPREPLY < <(compgen -W "$common" -- "$cur")
 		return
