--- /dev/null
+++ b/tests/run/soak.sh
@@ -0,0 +1,79 @@
+#!/usr/bin/env bash
+# A soak of cassia-node under faults drawn from a seed: three instances beside the platform's stand-in are
+# killed, stopped, frozen and restarted, also at the same time, and the store falls silent, refuses or drops
+# its history, while callers send unsafe requests. From what callers got and servers ran, the promises are
+# checked: nothing runs twice, a refusal did not run, an answer belongs to its request, and all instances
+# serve again after the faults. SEED=n, SECONDS_LONG=n.
+. "$(dirname "${BASH_SOURCE[0]}")/node-lib.sh"
+seed=${SEED:-1}
+long=${SECONDS_LONG:-20}
+callers=4
+
+start_all
+start_node 3 z1
+wait_for 10 ready 3 || echo "instance 3 did not get ready"
+
+# caller K: unsafe requests one after another, a line "ID STATUS MATCHES" each.
+caller() {
+	local k=$1 n=0 id node a status modes=('' '' '' '&mode=shed' '&mode=no-signature' '&ms=30')
+	RANDOM=$((seed * 100 + k))
+	while [ ! -e "$dir/stop" ]; do
+		n=$((n + 1))
+		id=s$k-$n
+		node=$((RANDOM % 3 + 1))
+		a=$(curl -sS -i --max-time 4 "http://127.$run.$node.1:8144/unsafe/x?ms=$((RANDOM % 40))${modes[RANDOM % 6]}" -d body \
+			-H 'Host: h.example' -H "Cassiascale-Attempt-Id: $id" -H 'Cassiascale-Deadline-Milliseconds: 2000' 2>/dev/null)
+		status=$(sed -n '1s/^HTTP\/1.1 \([0-9]*\).*/\1/p' <<<"$a")
+		grep -q "id=$id\$" <<<"$a" && match=1 || match=0
+		echo "$id ${status:-0} $match"
+	done
+}
+for k in $(seq $callers); do
+	caller "$k" >"$dir/history.$k" &
+	pids="$pids $!"
+	caller_pids="${caller_pids:-} $!"
+done
+
+pid_of() { eval "echo \$pid_node$1"; }
+restart() {
+	kill -0 "$(pid_of "$1")" 2>/dev/null && kill -9 "$(pid_of "$1")"
+	start_node "$1" "z$((($1 - 1) % 2 + 1))"
+}
+
+# Faults in series and overlapping, by the seed.
+RANDOM=$seed
+end=$((SECONDS + long))
+while [ $SECONDS -lt $end ]; do
+	n=$((RANDOM % 3 + 1))
+	case $((RANDOM % 8)) in
+	0) kill -9 "$(pid_of $n)" 2>/dev/null; sleep 0.$((RANDOM % 9)); restart $n ;;
+	1) kill -TERM "$(pid_of $n)" 2>/dev/null; sleep 1.$((RANDOM % 9)); restart $n ;;
+	2) kill -STOP "$(pid_of $n)" 2>/dev/null; sleep 1.$((RANDOM % 9)); kill -CONT "$(pid_of $n)" 2>/dev/null ;;
+	3) kill -HUP "$(pid_of $n)" 2>/dev/null ;;
+	4) curl -sS "$control/mode?mode=silent" >/dev/null; sleep 1.$((RANDOM % 9)); curl -sS "$control/mode?mode=ok" >/dev/null ;;
+	5) curl -sS "$control/mode?mode=busy" >/dev/null; sleep 0.$((RANDOM % 9)); curl -sS "$control/mode?mode=ok" >/dev/null ;;
+	6) curl -sS "$control/compact" >/dev/null; document $((100 + SECONDS)) ;;
+	7) for n in 1 2 3; do kill -9 "$(pid_of $n)" 2>/dev/null; done; for n in 1 2 3; do restart $n; done ;;
+	esac
+	sleep 0.$((RANDOM % 9))
+done
+for n in 1 2 3; do wait_for 10 ready $n; ok "instance $n is ready after the faults" ready $n >/dev/null; done
+touch "$dir/stop"
+# shellcheck disable=SC2086
+wait $caller_pids 2>/dev/null
+
+violations=0 total=0
+while read -r id status match; do
+	total=$((total + 1))
+	r=$(runs "$id")
+	bad=""
+	[ "$r" -gt 1 ] && bad="ran $r times"
+	[ "$status" = 503 ] && [ "$r" -ne 0 ] && bad="refused as not run, but ran"
+	[ "$status" = 200 ] && { [ "$match" = 1 ] && [ "$r" -eq 1 ] || bad="answered with another answer, or without a run"; }
+	[ -n "$bad" ] && { echo "violation: $id status $status: $bad"; violations=$((violations + 1)); }
+done < <(cat "$dir"/history.*)
+good=$(cat "$dir"/history.* | grep -c ' 200 ')
+echo "soak: seed $seed operations $total answered $good violations $violations"
+ok "no promise was broken" [ $violations -eq 0 ]
+ok "callers were served" [ "$good" -gt 50 ]
+finish
