proxyd: take callers and reach servers through lib/proxy

The request path of cassia-proxyd had its own copy of what lib/proxy does for cassia-node: connections of callers, early answers, callers that leave, transfers with libcurl. It now uses lib/proxy for both; what is left in src/proxyd are its stages, its decisions and its interface. lib/proxy gains connections used for one request, a limit of connections a server, and one resend of a repeatable request whose kept connection had died.

libmicrohttpd's strict mode is off again: it closes the connection on a space in the target without an answer (proxy-input.sh), and the checks of names, targets and lengths give a 400.

--- a/lib/proxy/ingress.c
+++ b/lib/proxy/ingress.c
@@ -13,8 +13,6 @@
 #include "proxy/ingress.h"
 #include "proxy/linger.h"
 
-/* Bytes MHD may use for one connection: heads of 16 KB and their parsed form. */
-#define CONNECTION_MEMORY (24 * 1024)
 /* Bytes MHD asks for in one call while an answer streams. */
 #define BLOCK_SIZE (32 * 1024)
 /* Largest head and body of an answer written before the end of the request's body. */
@@ -102,9 +100,8 @@
 		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_URI_LOG_CALLBACK, on_uri, g,
 		MHD_OPTION_UNESCAPE_CALLBACK, on_unescape, NULL, MHD_OPTION_NOTIFY_COMPLETED,
 		on_completed, g, MHD_OPTION_NOTIFY_CONNECTION, on_connection, g,
-		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_CONNECTION_TIMEOUT, opts->idle_s,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-		MHD_OPTION_CONNECTION_LIMIT, opts->connections, MHD_OPTION_END);
+		MHD_OPTION_CONNECTION_TIMEOUT, opts->idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		opts->memory, MHD_OPTION_CONNECTION_LIMIT, opts->connections, MHD_OPTION_END);
 	if (g->daemon == NULL) {
 		cs_msg_set(msg, "cannot start the HTTP server on %s:%u", opts->addr, opts->port);
 		close(fd);
--- a/lib/proxy/ingress.h
+++ b/lib/proxy/ingress.h
@@ -34,6 +34,7 @@
 	const char *addr;
 	uint16_t port; /* 0 takes a free one */
 	unsigned connections; /* most at a time */
+	size_t memory; /* bytes for the head of one connection and its parsed form */
 	unsigned idle_s; /* connections that are idle, or slow in sending a head */
 	const struct cs_ingress_ops *ops;
 	void *arg;
--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -24,6 +24,8 @@
  * connections without notice, and what is lost with one may not be sent again.
  */
 #define ONCE_IDLE_US (100 * CS_US_PER_MS)
+/* A server that does not answer "Expect: 100-continue" gets the body after this time. */
+#define EXPECT_TIMEOUT_MS 200L
 /* Idle connections of all others are not used again after this time, in seconds. */
 #define IDLE_MAX_S 8L
 enum lane { LANE_SMALL, LANE_BULK, LANE_MAX };
@@ -43,7 +45,8 @@
 	bool running; /* libcurl has it */
 	bool news; /* in the list */
 	bool stale; /* the connection offered was not fit for use */
-	bool refused_resend; /* libcurl wanted to send it a second time */
+	bool resent; /* sent again after a kept connection died */
+	bool refused_resend; /* libcurl wanted to send it again, and must not */
 	uint64_t key; /* of its connection, once sent */
 	int new_fd; /* of a connection opened for it, until it is registered; or -1 */
 	bool send_paused, recv_paused;
@@ -60,6 +63,7 @@
 struct cs_lanes {
 	struct ev_loop *loop;
 	struct cs_curl *curl[LANE_MAX];
+	long limit[LANE_MAX]; /* connections to one server */
 	struct sockets *sockets;
 	struct in_addr source;
 	bool bind_source;
@@ -132,6 +136,16 @@
 	free(l);
 }
 
+void cs_lanes_limit(struct cs_lanes *l, bool bulk, long connections)
+{
+	enum lane lane = bulk ? LANE_BULK : LANE_SMALL;
+
+	if (l->limit[lane] == connections)
+		return;
+	l->limit[lane] = connections;
+	curl_multi_setopt(cs_curl_multi(l->curl[lane]), CURLMOPT_MAX_HOST_CONNECTIONS, connections);
+}
+
 uint64_t cs_lanes_opened(const struct cs_lanes *l)
 {
 	return l->opened;
@@ -146,6 +160,7 @@
 	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(e, CURLOPT_EXPECT_100_TIMEOUT_MS, EXPECT_TIMEOUT_MS);
 	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
 	curl_easy_setopt(e, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
@@ -220,12 +235,12 @@
 
 	curl_easy_setopt(e, CURLOPT_URL, t->url);
 	curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, o->target);
-	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, t->stale ? 1L : 0L);
+	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, t->stale || o->alone ? 1L : 0L);
 	/*
 	 * A server may answer before it has read a long body and keep the connection: the rest of
 	 * the body would be read as the next request.
 	 */
-	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, o->bulk ? 1L : 0L);
+	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, o->bulk || o->alone ? 1L : 0L);
 	set_body(t);
 	curl_easy_setopt(e, CURLOPT_HTTPHEADER, o->lines);
 	t->curl = t->lanes->curl[o->bulk ? LANE_BULK : LANE_SMALL];
@@ -418,10 +433,11 @@
 	struct cs_transfer *t = arg;
 	uint64_t key = sockets_key(dst, dst_port, src, src_port);
 
-	if (t->state != CS_TRANSFER_UNSENT) {
+	if (t->state != CS_TRANSFER_UNSENT && (t->opts.once || t->resent)) {
 		t->refused_resend = true;
 		return CURL_PREREQFUNC_ABORT;
 	}
+	t->resent = t->state != CS_TRANSFER_UNSENT;
 	if (t->new_fd >= 0) {
 		sockets_add(t->lanes->sockets, key, t->new_fd);
 		t->new_fd = -1;
@@ -556,7 +572,7 @@
 		transfer_send(t);
 		return;
 	}
-	if (t->has_head && code == CURLE_OK) {
+	if (t->has_head && (code == CURLE_OK || cs_fault("discard"))) {
 		t->state = CS_TRANSFER_WHOLE;
 		sockets_touch(t->lanes->sockets, t->key);
 	} else {
--- a/lib/proxy/transfer.h
+++ b/lib/proxy/transfer.h
@@ -28,6 +28,8 @@
 /* source: address to connect from, or NULL. */
 struct cs_lanes *cs_lanes_create(struct ev_loop *loop, struct cs_timers *ts, const char *source);
 void cs_lanes_destroy(struct cs_lanes *l);
+/* Most connections of each kind to one server; 0: no limit. */
+void cs_lanes_limit(struct cs_lanes *l, bool bulk, long connections);
 /* Connections opened to servers so far. */
 uint64_t cs_lanes_opened(const struct cs_lanes *l);
 
@@ -44,6 +46,7 @@
 	uint64_t body_length; /* UINT64_MAX: unknown, sent in chunks */
 	const bool *body_ended; /* set by the owner when the ring gets no more bytes */
 	bool once; /* at most once: never sent again, and only on a connection in recent use */
+	bool alone; /* on a connection of its own, used for nothing else */
 	bool bulk; /* large: on connections of their own */
 	size_t buffer_max; /* bytes of the answer held; more makes the transfer pause */
 };
--- a/src/node/front.c
+++ b/src/node/front.c
@@ -8,6 +8,8 @@
 
 /* Descriptors kept for servers, the store and other instances; the rest is for callers. */
 #define DESCRIPTORS_OTHER 1500
+/* Bytes for a head of 16 KB and its parsed form. */
+#define CONNECTION_MEMORY (24 * 1024)
 /* Idle time of callers' connections before a document states one. */
 #define IDLE_DEFAULT_S 30
 /* Time to come back for callers of an instance that knows no document yet. */
@@ -37,6 +39,7 @@
 		.addr = n->settings.front.addr,
 		.port = n->settings.front.port,
 		.connections = all > 2 * DESCRIPTORS_OTHER ? all - DESCRIPTORS_OTHER : all / 2,
+		.memory = CONNECTION_MEMORY,
 		.idle_s = IDLE_DEFAULT_S,
 		.ops = &ops,
 		.arg = n};
@@ -319,7 +322,10 @@
 	copy_lines(cs_transfer_head(t), &lines);
 	req->stage = STAGE_ANSWER;
 	req->status = cs_transfer_status(t);
-	if (cs_transfer_state(t) == CS_TRANSFER_WHOLE && ring_whole(data)) {
+	if (cs_transfer_bodiless(t) && cs_transfer_length(t) != UINT64_MAX) {
+		/* The length is that of the answer to a request with a body. */
+		cs_call_stream(req->call, req->status, &lines, cs_transfer_length(t), false);
+	} else if (cs_transfer_state(t) == CS_TRANSFER_WHOLE && ring_whole(data)) {
 		cs_call_answer(req->call, req->status, &lines, data->data ? data->data : "",
 			       ring_used(data));
 	} else {
--- a/src/proxyd/admin.c
+++ b/src/proxyd/admin.c
@@ -66,7 +66,7 @@
 {
 	struct proxyd *p = req->proxyd;
 
-	*p->stats.open_connections = p->n_conns;
+	*p->stats.open_connections = cs_ingress_connections(p->ingress);
 	*p->stats.in_flight = p->n_requests;
 	*p->stats.outcomes = (int64_t)outcomes_count(p->outcomes);
 	*p->stats.outcome_bytes = (int64_t)outcomes_bytes(p->outcomes);
@@ -131,9 +131,9 @@
 			"ready", view_ready(p), "stopping", stops[p->stop], "revision",
 			(json_int_t)(cfg ? cfg->revision : 0), "agent_silent_ms",
 			(json_int_t)(silent == UINT64_MAX ? -1 : (int64_t)(silent / CS_US_PER_MS)),
-			"connections", p->n_conns, "requests", p->n_requests, "outcomes",
-			(json_int_t)outcomes_count(p->outcomes), "services", loads_json(p),
-			"classes", classes_json(p, cfg));
+			"connections", cs_ingress_connections(p->ingress), "requests",
+			p->n_requests, "outcomes", (json_int_t)outcomes_count(p->outcomes),
+			"services", loads_json(p), "classes", classes_json(p, cfg));
 	text = doc ? json_dumps(doc, JSON_COMPACT) : cs_xstrdup("{}");
 	json_decref(doc);
 	reply_text(req, 200, "application/json", text);
--- a/src/proxyd/dedup.c
+++ b/src/proxyd/dedup.c
@@ -48,7 +48,6 @@
 	req->result = RESULT_OK;
 	cs_timer_stop(&req->deadline);
 	reply_outcome(req, o);
-	server_answer(req);
 	return false;
 }
 
@@ -71,7 +70,6 @@
 		req->result = o->kind == OUTCOME_UNKNOWN ? RESULT_FAILED : RESULT_OK;
 		cs_timer_stop(&req->deadline);
 		reply_outcome(req, o);
-		server_answer(req);
 	}
 }
 
@@ -102,10 +100,10 @@
 	size_t at = 0;
 
 	if (att->kind == ATTEMPT_HOP) {
-		head_copy(out, &att->head);
+		head_copy(out, att->head);
 		return;
 	}
-	while (head_next(&att->head, &at, &name, &value))
+	while (head_next(att->head, &at, &name, &value))
 		if (strncasecmp(name, "X-Cassia-", 9) != 0)
 			head_add(out, name, strlen(name), value, strlen(value));
 	value = req->proxyd->instance;
@@ -133,10 +131,10 @@
 		outcomes_lost(p->outcomes, o, now);
 		break;
 	case RAN_YES:
-		if (att != NULL && att->whole && att->data.in <= OUTCOME_BODY_MAX) {
+		if (att != NULL && att->whole && att->data->in <= OUTCOME_BODY_MAX) {
 			kept_head(req, &head);
-			outcomes_answered(p->outcomes, o, att->status, &head, att->data.data,
-					  (size_t)att->data.in, now);
+			outcomes_answered(p->outcomes, o, att->status, &head, att->data->data,
+					  (size_t)att->data->in, now);
 			head_free(&head);
 		} else {
 			outcomes_answered(p->outcomes, o, req->status, NULL, NULL, 0, now);
--- a/src/proxyd/intake.c
+++ b/src/proxyd/intake.c
@@ -35,16 +35,13 @@
 	*slot = value;
 }
 
-static enum MHD_Result scan_header(void *cls, enum MHD_ValueKind kind, const char *name,
-				   const char *value)
+static bool scan_header(const char *name, const char *value, void *arg)
 {
-	struct scan *s = cls;
+	struct scan *s = arg;
 
-	if (value == NULL)
-		value = "";
 	s->bytes += strlen(name) + strlen(value) + 4;
 	s->n++;
-	if (s->bad == NULL && (*name == '\0' || !check_value(value)))
+	if (s->bad == NULL && (!check_name(name) || !check_value(value)))
 		s->bad = name;
 	switch (*name | 0x20) {
 	case 'x':
@@ -70,7 +67,7 @@
 	default:
 		break;
 	}
-	return MHD_YES;
+	return true;
 }
 
 /* True for headers that the proxy sets itself. */
@@ -115,21 +112,20 @@
 	w->next++;
 }
 
-static enum MHD_Result write_header(void *cls, enum MHD_ValueKind kind, const char *name,
-				    const char *value)
+static bool write_header(const char *name, const char *value, void *arg)
 {
-	struct writer *w = cls;
+	struct writer *w = arg;
 
 	if (head_is_hop(name) || is_own(name))
-		return MHD_YES;
+		return true;
 	if (w->connection != NULL && head_list_has(w->connection, name))
-		return MHD_YES;
+		return true;
 	if (strcasecmp(name, "Content-Type") == 0)
 		w->req->has_content_type = true;
 	else if (strcasecmp(name, "Accept") == 0)
 		w->req->has_accept = true;
-	write_line(w, name, value ? value : "");
-	return MHD_YES;
+	write_line(w, name, value);
+	return true;
 }
 
 /* Builds the list of lines for libcurl; all lines are one allocation. */
@@ -143,7 +139,7 @@
 	w.at = (char *)req->lines + slots;
 	write_line(&w, "X-Request-Id", req->id);
 	write_line(&w, "X-Cassia-Class", req->class_name);
-	MHD_get_connection_values(req->mhd, MHD_HEADER_KIND, write_header, &w);
+	cs_call_headers(req->call, write_header, &w);
 	if (!req->has_accept)
 		write_removal(&w, "Accept");
 	if (!req->has_content_type)
@@ -275,7 +271,7 @@
 	struct scan s = {.req = req};
 
 	req->ask.arrived_us = cs_mono_us();
-	MHD_get_connection_values(req->mhd, MHD_HEADER_KIND, scan_header, &s);
+	cs_call_headers(req->call, scan_header, &s);
 	if (!check_headers(req, &s))
 		return;
 	if (strncmp(req->target, "/_cassia", 8) == 0 && strchr("/?", req->target[8]) != NULL) {
--- a/src/proxyd/main.c
+++ b/src/proxyd/main.c
@@ -7,8 +7,6 @@
 
 #include "src/proxyd/proxyd.h"
 
-#define LANE_CONNECTIONS_MAX 2048L
-
 /* How often waiting requests are decided again without an event. */
 #define RETRY_US (20 * CS_US_PER_MS)
 /* A longer pause between two turns of the loop counts as a freeze. */
@@ -110,15 +108,10 @@
 static void parts_create(struct proxyd *p)
 {
 	struct cs_policy_opts opts = {0};
-	unsigned i;
 
 	p->loop = ev_default_loop(EVFLAG_AUTO);
 	p->timers = cs_timers_create(p->loop);
-	p->lingers = cs_lingers_create(p->loop, p->timers);
 	TAILQ_INIT(&p->requests);
-	TAILQ_INIT(&p->work);
-	TAILQ_INIT(&p->pool);
-	LIST_INIT(&p->conns);
 	cs_copy(opts.instance, sizeof(opts.instance), p->instance);
 	cs_copy(opts.zone, sizeof(opts.zone), p->zone);
 	opts.choice = (enum cs_choice)cs_setting_int(settings, "choice");
@@ -130,7 +123,6 @@
 	cs_timer_init(&p->retry, on_retry, p);
 	cs_timer_start_every(p->timers, &p->retry, RETRY_US);
 	cs_timers_on_gap(p->timers, GAP_US, on_gap, p);
-	p->sockets = sockets_create();
 	stats_init(&p->stats);
 	/*
 	 * Runs before MHD's own watcher, so that answers go out in the same turn, and after those
@@ -141,26 +133,18 @@
 	p->before.data = p;
 	ev_prepare_start(p->loop, &p->before);
 	ev_idle_init(&p->awake, on_awake);
-	for (i = 0; i < LANE_MAX; i++) {
-		p->lanes[i] = cs_curl_create(p->loop, p->timers);
-		curl_multi_setopt(cs_curl_multi(p->lanes[i]), CURLMOPT_MAXCONNECTS,
-				  LANE_CONNECTIONS_MAX);
-	}
+	p->servers = cs_lanes_create(p->loop, p->timers, p->bind_source ? p->address : NULL);
+	p->hops = cs_lanes_create(p->loop, p->timers, p->bind_source ? p->address : NULL);
 	stop_watch(p);
 }
 
 static void parts_destroy(struct proxyd *p)
 {
-	unsigned i;
-
 	server_stop(p);
-	cs_lingers_destroy(p->lingers);
 	if (p->link != NULL)
 		view_stop(p);
-	attempts_free(p);
-	for (i = 0; i < LANE_MAX; i++)
-		cs_curl_destroy(p->lanes[i]);
-	sockets_destroy(p->sockets);
+	cs_lanes_destroy(p->servers);
+	cs_lanes_destroy(p->hops);
 	ev_prepare_stop(p->loop, &p->before);
 	ev_idle_stop(p->loop, &p->awake);
 	outcomes_destroy(p->outcomes);
@@ -197,19 +181,13 @@
 	cs_policy_gap(p->policy, cs_mono_us());
 }
 
-/* News from libcurl's callbacks, then waiting requests that can go on now. */
+/* Waiting requests that can go on now. */
 static void on_before(struct ev_loop *loop, ev_prepare *w, int events)
 {
 	struct proxyd *p = w->data;
-	struct request *req;
 	struct cs_ask *ask;
 
 	ev_idle_stop(loop, &p->awake);
-	while ((req = TAILQ_FIRST(&p->work)) != NULL) {
-		TAILQ_REMOVE(&p->work, req, work_entry);
-		req->work = false;
-		request_progress(req);
-	}
 	if (!p->pump)
 		return;
 	p->pump = false;
@@ -257,7 +235,7 @@
 	cs_log(CS_NOTICE, "main", "Listening. address=%s port=%u instance=%s zone=%s", p.address,
 	       p.port, p.instance, p.zone);
 	ev_run(p.loop, 0);
-	cs_log(CS_NOTICE, "main", "Stopped. connections=%u", p.n_conns);
+	cs_log(CS_NOTICE, "main", "Stopped. connections=%u", cs_ingress_connections(p.ingress));
 	rc = 0;
 out:
 	if (rc != 0)
--- a/src/proxyd/proxyd.h
+++ b/src/proxyd/proxyd.h
@@ -1,6 +1,6 @@
 /*
  * proxyd: state shared by the parts of cassia-proxyd. server.c takes callers' requests from
- * libmicrohttpd, request.c leads each through its stages, attempt.c runs transfers to servers and
+ * lib/proxy, request.c leads each through its stages, attempt.c runs transfers to servers and
  * to other proxies with libcurl, reply.c builds answers.
  */
 #ifndef PROXYD_PROXYD_H
@@ -11,10 +11,10 @@
 #include "link/link.h"
 #include "policy/policy.h"
 #include "proxy/head.h"
-#include "proxy/linger.h"
+#include "proxy/ingress.h"
 #include "src/proxyd/outcome.h"
 #include "proxy/ring.h"
-#include "proxy/sockets.h"
+#include "proxy/transfer.h"
 #include "src/proxyd/stats.h"
 
 /* Bodies and answers of at most this size are held whole; larger ones stream through it. */
@@ -39,36 +39,29 @@
 
 enum attempt_kind { ATTEMPT_SERVER, ATTEMPT_HOP };
 
-/* How the server marks the end of its answer. */
-enum framing { FRAMING_LENGTH, FRAMING_CHUNKED, FRAMING_CLOSE };
-
 struct proxyd;
 struct request;
 
 /* One transfer to a backend server or to another zone's proxy. */
 struct attempt {
-	TAILQ_ENTRY(attempt) entry; /* of the request, or of the pool */
+	TAILQ_ENTRY(attempt) entry;
 	struct request *req;
-	struct cs_curl *curl;
-	CURL *easy;
+	struct cs_transfer *transfer;
 	enum attempt_kind kind;
 	enum attempt_state state;
 	struct cs_target *target; /* ATTEMPT_SERVER */
 	char name[CS_NAME_MAX]; /* of the server or instance */
 	char zone[CS_NAME_MAX]; /* ATTEMPT_HOP */
 	uint64_t started_us;
-	bool running; /* libcurl has it */
+	bool running; /* the transfer goes on */
 	bool ended; /* the policy was told */
 	bool hedge;
-	bool stale; /* the reused connection had input before the request */
-	int new_fd; /* of a connection opened for this attempt, until it is registered; or -1 */
-	bool send_paused, recv_paused;
 	/* Request lines that differ between attempts. */
 	struct curl_slist lines[3];
 	char deadline_line[48];
 	char addr[CS_ADDR_MAX];
 	uint16_t port;
-	/* Answer. */
+	/* Answer, as far as it is in. */
 	unsigned status;
 	bool head_done;
 	bool state_taken; /* the policy has the server's state from the head */
@@ -76,10 +69,10 @@
 	bool refused; /* the answer says that it did not run */
 	bool whole; /* ended, all of it is in */
 	bool failed; /* ended before its end */
-	enum framing framing;
-	uint64_t length; /* FRAMING_LENGTH */
-	struct head head;
-	struct ring data;
+	enum cs_framing framing;
+	uint64_t length; /* CS_FRAMING_LENGTH */
+	const struct head *head;
+	struct ring *data;
 };
 
 enum stage {
@@ -90,30 +83,15 @@
 	STAGE_ANSWER /* the answer is fixed */
 };
 
-/* One connection of a caller. */
-struct conn {
-	LIST_ENTRY(conn) entry;
-	struct proxyd *proxyd;
-	struct MHD_Connection *mhd;
-	struct request *req;
-	int fd;
-};
-
 /* One request of a caller; lives from its first line to the end of its answer. */
 struct request {
 	TAILQ_ENTRY(request) entry;
-	TAILQ_ENTRY(request) work_entry;
 	struct proxyd *proxyd;
-	struct conn *conn;
-	struct MHD_Connection *mhd;
+	struct cs_call *call;
 	enum stage stage;
-	bool started; /* headers were checked */
 	bool admin;
-	bool suspended; /* MHD does not read or write the connection */
-	bool in_handler;
+	bool answered; /* the ingress has the answer */
 	bool gone; /* the caller's connection ended */
-	bool work; /* in the work list */
-	bool close; /* close the caller's connection after the answer */
 
 	char *target; /* as received */
 	char method[20];
@@ -148,10 +126,6 @@
 	struct outcome_join join;
 
 	/* Answer. */
-	struct MHD_Response *reply;
-	const char *reply_body; /* whole body, or NULL if the reply streams */
-	size_t reply_len;
-	bool early; /* answered before the end of the body */
 	unsigned status;
 	enum result { RESULT_NONE, RESULT_OK, RESULT_REFUSED, RESULT_FAILED, RESULT_BAD } result;
 };
@@ -163,9 +137,6 @@
 	STOP_DONE
 };
 
-/* Transfers are kept apart so that bulk and small requests never share a connection. */
-enum lane { LANE_SMALL, LANE_BULK, LANE_HOP_SMALL, LANE_HOP_BULK, LANE_MAX };
-
 struct proxyd {
 	struct ev_loop *loop;
 	struct cs_timers *timers;
@@ -176,48 +147,35 @@
 	struct cs_policy *policy;
 	bool had_room; /* slots of the zone's servers were divided once */
 	struct cs_link *link;
-	struct cs_curl *lanes[LANE_MAX];
-	long lane_limits[LANE_MAX]; /* connections to one server */
-	struct sockets *sockets;
-	struct MHD_Daemon *daemon;
-	struct cs_mhd *mhd;
-	struct hangup *hangup;
+	struct cs_lanes *servers, *hops; /* transfers to servers, and to other proxies */
+	struct cs_ingress *ingress;
 	struct outcomes *outcomes;
 	struct stats stats;
 	TAILQ_HEAD(, request) requests;
-	TAILQ_HEAD(, request) work;
-	TAILQ_HEAD(, attempt) pool;
-	LIST_HEAD(, conn) conns;
-	struct cs_lingers *lingers;
-	unsigned n_pool, n_conns, n_requests;
+	unsigned n_requests;
 	struct cs_rng ids; /* of request ids; a system call for each would be slow */
 	bool pump; /* waiting requests may go on */
 	struct cs_timer retry;
 	ev_prepare before;
-	ev_idle awake; /* active while work or pump is set */
+	ev_idle awake; /* active while pump is set */
 	ev_signal term, intr;
 	enum stop_stage stop;
 	struct cs_timer stop_timer;
 	struct cs_report_load *report_loads;
 };
 
-/* Keeps the loop from sleeping until work and pump are served; call it after setting one. */
+/* Keeps the loop from sleeping until pump is served; call it after setting it. */
 void proxyd_wake(struct proxyd *p);
 
 /* server.c */
 bool server_start(struct proxyd *p, struct cs_msg *msg);
 void server_stop(struct proxyd *p);
-/* Lets the caller's connection go on after it was suspended. */
-void server_resume(struct request *req);
-void server_suspend(struct request *req);
-/* The reply is set: sends it now, also while the body still comes. */
-void server_answer(struct request *req);
 
 /* intake.c: checks of a new request. Sets an error reply, or fills the request. */
 void intake_check(struct request *req);
 
 /* request.c */
-struct request *request_create(struct proxyd *p, const char *target);
+struct request *request_create(struct proxyd *p, struct cs_call *call);
 void request_destroy(struct request *req);
 /* Headers are accepted: starts collecting the body or decides. */
 void request_start(struct request *req);
@@ -228,7 +186,6 @@
 void request_gone(struct request *req);
 /* An attempt has news; called outside of libcurl's callbacks. */
 void request_progress(struct request *req);
-void request_work(struct request *req);
 /* Asks the policy and acts on the answer. */
 void request_decide(struct request *req);
 /* Ends the request with an error of the system's own. */
@@ -243,7 +200,9 @@
 struct attempt *attempt_hop(struct request *req, const struct cs_decision *d);
 /* Ends an attempt, running or not, and tells the policy. */
 void attempt_end(struct attempt *att, enum cs_outcome outcome);
-/* Gives an ended attempt back to the pool. */
+/* True if the server may have begun to work on it. */
+bool attempt_may_have_run(const struct attempt *att);
+/* Frees an ended attempt. */
 void attempt_free(struct attempt *att);
 /* Hands the server's own word on its state to the policy, once, when the head is in. */
 void attempt_take_state(struct attempt *att);
@@ -251,7 +210,6 @@
 void attempt_body_ready(struct attempt *att);
 /* The caller took bytes of the answer. */
 void attempt_answer_taken(struct attempt *att);
-void attempts_free(struct proxyd *p);
 
 /* reply.c */
 void reply_error(struct request *req, unsigned status, const char *error, enum ran ran,
@@ -260,13 +218,8 @@
 void reply_attempt(struct request *req);
 void reply_outcome(struct request *req, const struct outcome *o);
 void reply_text(struct request *req, unsigned status, const char *type, char *body);
-/* Queues the reply on the caller's connection. */
-enum MHD_Result reply_send(struct request *req);
-/*
- * Writes a small reply while the body still comes, when MHD takes none. True if it went out; the
- * connection must then be closed.
- */
-bool reply_early(struct request *req);
+/* Next bytes of a streamed answer, or one of CS_READ_*. */
+ssize_t reply_read(struct request *req, char *buf, size_t max);
 
 /* outcomes at this instance: dedup.c */
 /* True if the request may run; else it joined or its reply is set. */
@@ -287,10 +240,4 @@
 /* stop.c */
 void stop_watch(struct proxyd *p);
 
-/* hangup.c: finds out that a caller left while MHD does not watch its connection. */
-struct hangup *hangup_create(struct ev_loop *loop);
-void hangup_destroy(struct hangup *h);
-void hangup_add(struct hangup *h, struct conn *c);
-void hangup_remove(struct hangup *h, struct conn *c);
-
 #endif
--- a/src/proxyd/request.c
+++ b/src/proxyd/request.c
@@ -9,12 +9,15 @@
 static void on_aux(struct cs_timer *t, void *arg);
 static void on_idle(struct cs_timer *t, void *arg);
 
-struct request *request_create(struct proxyd *p, const char *target)
+struct request *request_create(struct proxyd *p, struct cs_call *call)
 {
 	struct request *req = cs_xcalloc(1, sizeof(*req));
 
 	req->proxyd = p;
-	req->target = cs_xstrdup(target);
+	req->call = call;
+	req->target = cs_xstrdup(cs_call_target(call));
+	if (!cs_copy(req->method, sizeof(req->method), cs_call_method(call)))
+		req->method[0] = '\0';
 	req->ask.arg = req;
 	TAILQ_INIT(&req->attempts);
 	ring_init(&req->body, BUFFER_MAX);
@@ -94,12 +97,8 @@
 	dedup_leave(req);
 	while ((att = TAILQ_FIRST(&req->attempts)) != NULL)
 		attempt_free(att);
-	if (req->work)
-		TAILQ_REMOVE(&p->work, req, work_entry);
 	TAILQ_REMOVE(&p->requests, req, entry);
 	p->n_requests--;
-	if (req->reply != NULL)
-		MHD_destroy_response(req->reply);
 	ring_free(&req->body);
 	free(req->lines);
 	free(req->target);
@@ -117,8 +116,7 @@
 	if (req->stage == STAGE_JOINED)
 		return RAN_UNKNOWN;
 	TAILQ_FOREACH(att, &req->attempts, entry)
-		if (att->state != ATTEMPT_NOT_SENT && att->state != ATTEMPT_REFUSED &&
-		    ran == RAN_NO)
+		if (ran == RAN_NO && attempt_may_have_run(att))
 			ran = RAN_UNKNOWN;
 	return ran;
 }
@@ -289,7 +287,6 @@
 	req->result = status >= 500 ? RESULT_FAILED : RESULT_BAD;
 	reply_error(req, status, error, ran, message, 0);
 	dedup_end(req, ran);
-	server_answer(req);
 }
 
 void request_refuse(struct request *req, enum cs_refusal reason, unsigned retry_after_ms)
@@ -312,14 +309,13 @@
 	reply_error(req, 503, cs_refusal_name(reason), RAN_NO, message,
 		    (retry_after_ms + 999) / 1000);
 	dedup_end(req, RAN_NO);
-	server_answer(req);
 }
 
 void request_gone(struct request *req)
 {
 	enum ran ran = request_ran(req);
 
-	if (req->gone || req->early)
+	if (req->gone)
 		return;
 	req->gone = true;
 	stop_timers(req);
@@ -327,7 +323,6 @@
 	end_attempts(req, NULL, CS_OUTCOME_CANCELLED);
 	dedup_end(req, ran);
 	dedup_leave(req);
-	server_resume(req);
 }
 
 /* Makes an attempt's answer the request's answer. */
@@ -344,7 +339,6 @@
 	req->status = att->status;
 	reply_attempt(req);
 	dedup_end(req, RAN_YES);
-	server_answer(req);
 }
 
 /* True if another attempt may be made after the last one ended in this state. */
@@ -403,7 +397,7 @@
 /* Whether the answer is sent only when all of it is in. */
 static bool held_whole(const struct attempt *att)
 {
-	return att->no_body || (att->framing == FRAMING_LENGTH && att->length <= BUFFER_MAX);
+	return att->no_body || (att->framing == CS_FRAMING_LENGTH && att->length <= BUFFER_MAX);
 }
 
 /* The winner's transfer ended while its answer streams. */
@@ -415,7 +409,7 @@
 	attempt_end(att, att->failed || att->status >= 500 ? CS_OUTCOME_ERROR : CS_OUTCOME_OK);
 	if (att->failed)
 		(*req->proxyd->stats.truncated)++;
-	server_resume(req);
+	cs_call_resume(req->call);
 }
 
 void request_progress(struct request *req)
@@ -447,19 +441,8 @@
 		return;
 	if (!att->running && !att->ended)
 		winner_ended(req);
-	else if (ring_used(&att->data) > 0)
-		server_resume(req);
-}
-
-void request_work(struct request *req)
-{
-	struct proxyd *p = req->proxyd;
-
-	if (req->work)
-		return;
-	req->work = true;
-	TAILQ_INSERT_TAIL(&p->work, req, work_entry);
-	proxyd_wake(p);
+	else if (ring_used(att->data) > 0)
+		cs_call_resume(req->call);
 }
 
 /* The deadline passed: running attempts are cancelled. */
@@ -473,7 +456,7 @@
 			req->winner->failed = true;
 			(*req->proxyd->stats.truncated)++;
 			attempt_end(req->winner, CS_OUTCOME_TIMEOUT);
-			server_resume(req);
+			cs_call_resume(req->call);
 		}
 		return;
 	}
--- a/src/proxyd/stop.c
+++ b/src/proxyd/stop.c
@@ -38,6 +38,7 @@
 	       (unsigned long long)ttl_ms);
 	p->stop = STOP_ANNOUNCED;
 	*p->stats.ready = 0;
+	cs_ingress_closing(p->ingress);
 	cs_link_report_now(p->link);
 	if (cs_fault("drain-wait")) {
 		ev_break(p->loop, EVBREAK_ALL);
