--- a/tests/unit/test-steer.c
+++ b/tests/unit/test-steer.c
@@ -219,6 +219,71 @@
 	cs_steer_destroy(s);
 }
 
+/* Requests of one 2 s window at a rate of 100/s; returns the part that ran in the own region. */
+static double own_part(struct cs_steer *s, uint64_t *now, bool sticky)
+{
+	unsigned own = 0, all = 0, i;
+	struct cs_steer_decision d;
+	struct cs_steer_ask ask;
+
+	for (i = 0; i < 200; i++, *now += MS(10)) {
+		if (i % 5 == 0)
+			cs_steer_tick(s, *now);
+		fixture_ask(s, &ask, sticky ? cs_hash(&i, sizeof(i), 0) : 0, *now);
+		cs_steer_decide(s, &ask, *now, &d);
+		if (d.verdict != CS_STEER_SEND) {
+			cs_steer_forget(s, &ask);
+			continue;
+		}
+		all++;
+		own += cs_backend_zone(d.u.send.backend)[0] == 'a';
+		cs_steer_ended(s, &ask, d.u.send.backend, CS_STEER_OK, MS(100), *now);
+	}
+	return all > 0 ? (double)own / all : 0;
+}
+
+/*
+ * Guards against requests of a region that change region faster than the bound while demand
+ * elsewhere rises and falls. Load pattern: 10 busy slots here of 8 of this region, waves in the
+ * others.
+ */
+static void test_region_shift(void)
+{
+	static struct cs_steer_report r = {.name = "j1", .boot = 1, .ready = true, .n_services = 1};
+	uint64_t now = MS(1000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	double part, before = -1, least = 1, most = 0;
+	char id[16];
+	int i, sticky;
+
+	cs_steer_document(s, fixture_document(1, NULL), now);
+	for (i = 0; i < 12; i++) {
+		g_snprintf(id, sizeof(id), "s%d", i);
+		fixture_server(s, id, i < 2 ? "a1" : i < 7 ? "b1" : "c1", 0, now);
+	}
+	fixture_member(s, "j1", "b1", now);
+	fixture_run(s, &now, MS(1500));
+	r.services[0].service = (uint32_t)cs_hash_str("s", 0);
+	for (sticky = 0; sticky < 2; sticky++)
+		for (i = 0; i < 20; i++) {
+			r.seq = now;
+			r.services[0].work = i % 10 < 5 ? 0 : 60;
+			cs_steer_report_in(s, &r, now);
+			part = own_part(s, &now, sticky);
+			if (before >= 0)
+				g_assert_cmpfloat(part - before < 0 ? before - part : part - before,
+						  <=, 0.15);
+			before = part;
+			least = part < least ? part : least;
+			most = part > most ? part : most;
+			if (i == 19)
+				before = -1;
+		}
+	/* It does move. */
+	g_assert_cmpfloat(most - least, >, 0.02);
+	cs_steer_destroy(s);
+}
+
 /* Guards against servers kept for a store that was never away, only out of this instance's reach. */
 static void test_lapsed_beside_steady_peer(void)
 {
@@ -493,6 +558,7 @@
 	g_test_add_func("/steer/feed/away", test_feed_away);
 	g_test_add_func("/steer/feed/follower", test_feed_follower);
 	g_test_add_func("/steer/digest", test_digest);
+	g_test_add_func("/steer/region/shift", test_region_shift);
 	g_test_add_func("/steer/feed/returns-soon", test_feed_returns_soon);
 	return g_test_run();
 }
