--- a/lib/steer/feed.c
+++ b/lib/steer/feed.c
@@ -13,9 +13,9 @@
  * A watch answers at the first change, or after this time. While the store drops its history,
  * waiting watches hear nothing of changes that must be in force within 2 s.
  */
-#define WATCH_MS 800
+#define WATCH_MS 1100
 /* The store answers in milliseconds, and some tens of times slower on bad days. */
-#define ANSWER_MS 900
+#define ANSWER_MS 700
 #define READ_MS 2000
 /*
  * While the store does not answer, calls are short, so that its return is seen within about a
