--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -407,8 +407,8 @@
 }
 
 /*
- * Resets the connection. After an orderly close the kernel would go on sending what the server has not
- * acknowledged, and a request that was given up in a partition would run when that ends.
+ * Resets the connection. After an orderly close the kernel would go on sending what the server has
+ * not acknowledged, and a request that was given up in a partition would run when that ends.
  */
 static int on_close(void *arg, curl_socket_t fd)
 {
