--- a/lib/proxy/ingress.c
+++ b/lib/proxy/ingress.c
@@ -10,13 +10,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "proxy/early.h"
 #include "proxy/ingress.h"
 #include "proxy/linger.h"
 
 /* Bytes MHD asks for in one call while an answer streams. */
 #define BLOCK_SIZE (32 * 1024)
-/* Largest head and body of an answer written before the end of the request's body. */
-#define EARLY_MAX (8 * 1024)
 #define EVENTS_MAX 64
 
 /* One connection of a caller. */
@@ -223,11 +222,6 @@
 	MHD_get_connection_values(call->mhd, MHD_HEADER_KIND, on_value, &v);
 }
 
-bool cs_call_is_gone(const struct cs_call *call)
-{
-	return call->gone;
-}
-
 static void call_suspend(struct cs_call *call)
 {
 	if (call->suspended)
@@ -271,58 +265,13 @@
 		add_header(r, name, value);
 }
 
-/* Text of a reply's header lines. */
-struct lines {
-	char text[EARLY_MAX];
-	size_t len;
-};
-
-static enum MHD_Result write_line(void *cls, enum MHD_ValueKind kind, const char *name,
-				  const char *value)
-{
-	struct lines *l = cls;
-	int n;
-
-	if (strcasecmp(name, "Content-Length") == 0 || strcasecmp(name, "Connection") == 0)
-		return MHD_YES;
-	n = snprintf(l->text + l->len, sizeof(l->text) - l->len, "%s: %s\r\n", name, value);
-	if (n < 0 || (size_t)n >= sizeof(l->text) - l->len)
-		return MHD_NO;
-	l->len += (size_t)n;
-	return MHD_YES;
-}
-
-/*
- * Writes a small answer while the body still comes, when MHD takes none. True if it went out; the
- * connection must then be closed.
- */
+/* Writes the answer past MHD, if it is whole and small. */
 static bool write_early(struct cs_call *call)
 {
-	struct lines l = {.len = 0};
-	int fd = call->conn ? call->conn->fd : -1, rows;
-	struct iovec iov[2];
-	struct msghdr msg = {.msg_iov = iov, .msg_iovlen = 2};
-	char *head;
-	ssize_t n;
-
-	if (call->reply_body == NULL || call->reply_len > EARLY_MAX || fd < 0)
-		return false;
-	rows = MHD_get_response_headers(call->reply, NULL, NULL);
-	if (MHD_get_response_headers(call->reply, write_line, &l) != rows)
+	if (call->reply_body == NULL || call->conn == NULL)
 		return false;
-	head = cs_xasprintf("HTTP/1.1 %u %s\r\n%sConnection: close\r\nContent-Length: %zu\r\n\r\n",
-			    call->status, MHD_get_reason_phrase_for(call->status), l.text,
-			    call->reply_len);
-	iov[0] = (struct iovec){.iov_base = head, .iov_len = strlen(head)};
-	iov[1] = (struct iovec){.iov_base = (void *)(uintptr_t)call->reply_body,
-				.iov_len = call->reply_len};
-	/*
-	 * MHD has written nothing for this request but an interim answer, so that the socket takes
-	 * it all; if not, the caller sees a cut answer.
-	 */
-	n = sendmsg(fd, &msg, MSG_DONTWAIT | MSG_NOSIGNAL);
-	free(head);
-	return n > 0;
+	return cs_early_write(call->conn->fd, call->reply, call->status, call->reply_body,
+			      call->reply_len);
 }
 
 /* The answer is set: sends it now, also while the body still comes. */
--- a/lib/proxy/ingress.h
+++ b/lib/proxy/ingress.h
@@ -63,7 +63,6 @@
 /* All header lines in order; fn returns false to stop. */
 void cs_call_headers(const struct cs_call *call,
 		     bool (*fn)(const char *name, const char *value, void *arg), void *arg);
-bool cs_call_is_gone(const struct cs_call *call);
 
 /* Answer: status, header lines, then one of the two ends; exactly one answer a call. */
 void cs_call_answer(struct cs_call *call, unsigned status, const struct head *lines,
--- a/lib/proxy/sockets.c
+++ b/lib/proxy/sockets.c
@@ -87,13 +87,6 @@
 	LIST_INSERT_HEAD(&s->by_fd[fd % FD_BUCKETS], e, by_fd);
 }
 
-int sockets_find(struct sockets *s, uint64_t key)
-{
-	struct entry probe = {.key = key}, *e = RB_FIND(entry_tree, &s->tree, &probe);
-
-	return e ? e->fd : -1;
-}
-
 int sockets_find_idle(struct sockets *s, uint64_t key, uint64_t *idle_us)
 {
 	struct entry probe = {.key = key}, *e = RB_FIND(entry_tree, &s->tree, &probe);
--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -67,7 +67,6 @@
 	struct sockets *sockets;
 	struct in_addr source;
 	bool bind_source;
-	uint64_t opened;
 	TAILQ_HEAD(, cs_transfer) pool;
 	unsigned n_pool;
 	TAILQ_HEAD(, cs_transfer) news;
@@ -146,11 +145,6 @@
 	curl_multi_setopt(cs_curl_multi(l->curl[lane]), CURLMOPT_MAX_HOST_CONNECTIONS, connections);
 }
 
-uint64_t cs_lanes_opened(const struct cs_lanes *l)
-{
-	return l->opened;
-}
-
 /* Options that stay for the life of a handle. */
 static CURL *easy_create(struct cs_lanes *l, struct cs_transfer *t)
 {
@@ -395,7 +389,6 @@
 	int one = 1;
 
 	t->new_fd = fd;
-	t->lanes->opened++;
 	cs_sock_liveness(fd);
 	if (!t->lanes->bind_source)
 		return CURL_SOCKOPT_OK;
--- a/lib/proxy/transfer.h
+++ b/lib/proxy/transfer.h
@@ -30,8 +30,6 @@
 void cs_lanes_destroy(struct cs_lanes *l);
 /* Most connections of each kind to one server; 0: no limit. */
 void cs_lanes_limit(struct cs_lanes *l, bool bulk, long connections);
-/* Connections opened to servers so far. */
-uint64_t cs_lanes_opened(const struct cs_lanes *l);
 
 struct cs_transfer_opts {
 	const char *addr;
--- a/lib/steer/document.h
+++ b/lib/steer/document.h
@@ -1,5 +1,5 @@
 /*
- * document: the operators' routes, services and limits in force on an installation that selects
+ * document: the operators' routes, services and limits in force on a deployment that selects
  * work by host and path. A document is immutable once it is built.
  */
 #ifndef CS_STEER_DOCUMENT_H
--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -84,7 +84,6 @@
 	TAILQ_INSERT_TAIL(&b->service->backends, b, entry);
 	RB_INSERT(backend_ids, &s->ids, b);
 	RB_INSERT(backend_keys, &s->keys, b);
-	s->n_backends++;
 	return b;
 }
 
@@ -94,7 +93,6 @@
 	RB_REMOVE(backend_ids, &s->ids, b);
 	if (servers_by_key(s, b->key) == b)
 		RB_REMOVE(backend_keys, &s->keys, b);
-	s->n_backends--;
 	free(b);
 }
 
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -137,12 +137,10 @@
 	TAILQ_HEAD(, cs_steer_service) services;
 	struct backend_ids ids;
 	struct backend_keys keys;
-	unsigned n_backends;
 	struct member_list members;
 	struct zone_digest *digests[CS_ZONES_MAX]; /* NULL: none came */
 	unsigned most_members; /* largest number known lately, this one included */
 	struct cs_rng rng;
-	uint64_t started_us;
 	uint64_t tick_us;
 };
 
--- a/lib/steer/steer.c
+++ b/lib/steer/steer.c
@@ -68,7 +68,7 @@
 	RB_INIT(&s->ids);
 	RB_INIT(&s->keys);
 	cs_rng_seed(&s->rng, opts->seed);
-	s->started_us = s->tick_us = now_us;
+	s->tick_us = now_us;
 	s->most_members = 1;
 	return s;
 }
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -12,13 +12,11 @@
 #define CS_ZONES_MAX 128
 #define CS_REGIONS_MAX 32
 
-/* Limits that the installation's settings state. */
+/* Limits that the deployment's settings state. */
 struct cs_steer_bounds {
 	double retry_ratio; /* repeated sends by requests, over a window */
 	unsigned retry_window_s;
 	unsigned retry_extra; /* repeated sends a window that all instances share besides */
-	double cold_overrun; /* factor on cold_per_s that no second may pass */
-	unsigned cold_slack; /* requests besides */
 	double max_shift; /* part of a region's requests that may change region in 2 s */
 	unsigned lookup_ttl_ms; /* longest time to live of a lookup answer */
 	unsigned member_silence_ms; /* a silent instance is not named any more */
--- a/lib/steer/wait.c
+++ b/lib/steer/wait.c
@@ -40,7 +40,7 @@
 	if (ask->region < 0)
 		ask->region = (int)regions_draw(s, svc, ask->home_mask,
 						ask->sticky ? ask->object : 0, now_us);
-	/* None of the route's homes may be a region of this installation. */
+	/* None of the route's homes may be a region of this deployment. */
 	if ((ask->home_mask >> ask->region & 1) == 0)
 		return NULL;
 	b = place_in(s, svc, ask, (unsigned)ask->region, now_us);
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -5,7 +5,7 @@
 
 #include "src/node/node.h"
 
-/* Time to live of directory answers, below what the installation allows. */
+/* Time to live of directory answers, below what the deployment allows. */
 #define LOOKUP_TTL_MS 1000
 
 static void on_ready(struct cs_http_req *req, void *arg);
--- a/tests/unit/steer-fixture.c
+++ b/tests/unit/steer-fixture.c
@@ -13,8 +13,6 @@
 				  .bounds = {.retry_ratio = 0.2,
 					     .retry_window_s = 10,
 					     .retry_extra = 60,
-					     .cold_overrun = 1.5,
-					     .cold_slack = 5,
 					     .max_shift = 0.15,
 					     .lookup_ttl_ms = 5000,
 					     .member_silence_ms = 3000},
