Let one piece of code serve where the change had written twins

- lib/proxy/lines.c builds libcurl's header lines for cassia-node and cassia-proxyd; one rule (head_goes_on) says which lines pass on, in both directions of both programs.
- A member's and a digest's last report is kept once; what was copied from it is gone.
- The number of set bits of an object count is kept, not counted again for each choice of a server; the expected work is looked up once a choice.
- steer_service has no flag that was always true; flow.set is a first share; an instance that hands a digest on sends as it sends its own report.

--- a/lib/proxy/head.c
+++ b/lib/proxy/head.c
@@ -110,6 +110,13 @@
 	return false;
 }
 
+bool head_goes_on(const char *name, const char *connection)
+{
+	if (head_is_hop(name) || strcasecmp(name, "Content-Length") == 0)
+		return false;
+	return connection == NULL || !head_list_has(connection, name);
+}
+
 bool check_request_id(const char *id)
 {
 	size_t i;
--- a/lib/proxy/head.h
+++ b/lib/proxy/head.h
@@ -25,6 +25,11 @@
 
 /* Header of one connection only (RFC 9110, section 7.6.1); never passed on. */
 bool head_is_hop(const char *name);
+/*
+ * True if a line of one message goes on to the next hop; connection is the value of the message's
+ * header Connection, or NULL. Framing is set anew.
+ */
+bool head_goes_on(const char *name, const char *connection);
 /* True if a comma-separated list, as in the header Connection, holds the name. */
 bool head_list_has(const char *list, const char *name);
 
--- /dev/null
+++ b/lib/proxy/lines.c
@@ -0,0 +1,46 @@
+/* Header lines for libcurl. */
+#include <string.h>
+#include <strings.h>
+
+#include "base/base.h"
+#include "proxy/lines.h"
+
+void cs_lines_begin(struct cs_lines *l, unsigned n, size_t bytes)
+{
+	size_t slots = n * sizeof(struct curl_slist);
+
+	*l = (struct cs_lines){.first = cs_xcalloc(1, slots + bytes)};
+	l->next = l->first;
+	l->at = (char *)l->first + slots;
+}
+
+static void append(struct cs_lines *l, const char *name, const char *separator, const char *value)
+{
+	l->next->data = l->at;
+	l->at = stpcpy(stpcpy(stpcpy(l->at, name), separator), value) + 1;
+	l->next->next = l->next + 1;
+	l->next++;
+}
+
+void cs_lines_put(struct cs_lines *l, const char *name, const char *value)
+{
+	l->has_type = l->has_type || strcasecmp(name, "Content-Type") == 0;
+	l->has_accept = l->has_accept || strcasecmp(name, "Accept") == 0;
+	/* libcurl sends an empty value only for "name;". */
+	append(l, name, *value != '\0' ? ": " : ";", value);
+}
+
+void cs_lines_omit(struct cs_lines *l, const char *name)
+{
+	append(l, name, ":", "");
+}
+
+struct curl_slist *cs_lines_end(struct cs_lines *l)
+{
+	if (!l->has_accept)
+		cs_lines_omit(l, "Accept");
+	if (!l->has_type)
+		cs_lines_omit(l, "Content-Type");
+	(l->next - 1)->next = NULL;
+	return l->first;
+}
--- a/lib/steer/feed.c
+++ b/lib/steer/feed.c
@@ -156,8 +156,7 @@
 
 bool cs_feed_is_steady(const struct cs_feed *f, uint64_t now_us)
 {
-	return f->known && !f->following && f->failures == 0 && now_us - f->steady_us > STEADY_US &&
-	       now_us - f->answered_us < STEADY_ANSWER_US;
+	return cs_feed_is_fresh(f, now_us) && now_us - f->steady_us > STEADY_US;
 }
 
 bool cs_feed_is_fresh(const struct cs_feed *f, uint64_t now_us)
--- a/lib/steer/members.c
+++ b/lib/steer/members.c
@@ -26,9 +26,6 @@
 	return m->heard_us > 0 && now_us - m->heard_us < HEARD_US;
 }
 
-/* In a large fleet, an instance of another zone is in that zone's digest. */
-static bool member_in_digest(const struct cs_steer *s, const struct member *m, uint64_t now_us);
-
 static struct member *find_member(struct cs_steer *s, const char *name)
 {
 	struct member *m;
@@ -53,8 +50,7 @@
 		TAILQ_INSERT_TAIL(&s->members, m, entry);
 	} else if (m->m.boot != said->boot) {
 		m->heard_us = 0;
-		m->seq = 0;
-		m->report.n_rows = m->report.n_services = 0;
+		memset(&m->report, 0, sizeof(m->report));
 	}
 	m->m = *said;
 	m->zone = (unsigned)zone;
@@ -77,15 +73,12 @@
 {
 	struct member *m = find_member(s, r->name);
 
-	if (m == NULL || r->boot < m->m.boot || (r->boot == m->m.boot && r->seq <= m->seq))
+	if (m == NULL || r->boot < m->m.boot || (r->boot == m->m.boot && r->seq <= m->report.seq))
 		return;
 	m->m.boot = r->boot;
 	m->m.ready = r->ready;
 	m->m.leaving = r->leaving;
 	m->m.store_steady = r->store_steady;
-	m->store_fresh = r->store_fresh;
-	m->store_revision = r->store_revision;
-	m->seq = r->seq;
 	m->heard_us = now_us;
 	m->report = *r;
 }
@@ -114,16 +107,15 @@
 	}
 }
 
-static bool digest_heard(const struct zone_digest *d, uint64_t now_us);
-
-static bool member_in_digest(const struct cs_steer *s, const struct member *m, uint64_t now_us)
+static bool digest_heard(const struct zone_digest *d, uint64_t now_us)
 {
-	return digest_heard(s->digests[m->zone], now_us);
+	return d != NULL && now_us - d->heard_us < DIGEST_MAX_US;
 }
 
-static bool digest_heard(const struct zone_digest *d, uint64_t now_us)
+/* In a large fleet, the figures of an instance of another zone are in that zone's digest. */
+static bool member_in_digest(const struct cs_steer *s, const struct member *m, uint64_t now_us)
 {
-	return d != NULL && now_us - d->heard_us < DIGEST_MAX_US;
+	return digest_heard(s->digests[m->zone], now_us);
 }
 
 void members_sum(struct cs_steer *s, uint64_t now_us)
@@ -134,7 +126,7 @@
 	unsigned n = 1, i;
 
 	FOREACH_BACKEND(s, svc, b)
-	b->peers_in_flight = 0;
+		b->peers_in_flight = 0;
 	TAILQ_FOREACH_SAFE(m, &s->members, entry, next) {
 		if (!m->listed && now_us - m->heard_us > FORGET_US) {
 			TAILQ_REMOVE(&s->members, m, entry);
@@ -238,9 +230,10 @@
 	uint64_t revision = 0;
 
 	TAILQ_FOREACH(m, &s->members, entry)
-		if (m->zone == s->zone && m->store_fresh && !m->m.leaving &&
-		    now_us - m->heard_us < PEER_REPORT_MAX_US && m->store_revision > revision)
-			revision = m->store_revision;
+		if (m->zone == s->zone && m->report.store_fresh && !m->m.leaving &&
+		    now_us - m->heard_us < PEER_REPORT_MAX_US &&
+		    m->report.store_revision > revision)
+			revision = m->report.store_revision;
 	return revision;
 }
 
@@ -275,8 +268,7 @@
 	uint64_t age;
 
 	r->n_rows = 0;
-	FOREACH_BACKEND(s, svc, b)
-	{
+	FOREACH_BACKEND(s, svc, b) {
 		age = (now_us - b->load_us) / CS_US_PER_MS;
 		if (b->in_flight == 0 && (large || b->load_us == 0 || age > PACE_AGE_MAX_MS))
 			continue;
@@ -392,10 +384,9 @@
 	d = s->digests[from->zone];
 	if (d == NULL)
 		d = s->digests[from->zone] = cs_xcalloc(1, sizeof(*d));
-	if (strcmp(d->sender, r->name) == 0 && r->boot == d->report.boot && r->seq <= d->seq)
+	if (strcmp(d->report.name, r->name) == 0 && r->boot == d->report.boot &&
+	    r->seq <= d->report.seq)
 		return;
-	cs_copy(d->sender, sizeof(d->sender), r->name);
-	d->seq = r->seq;
 	d->heard_us = now_us;
 	d->report = *r;
 	TAILQ_FOREACH(m, &s->members, entry) {
--- a/lib/steer/objects.c
+++ b/lib/steer/objects.c
@@ -17,19 +17,18 @@
 	if (now_us - o->started_us > PERIOD_US) {
 		o->last = o->started_us > 0 ? objects_now(o) : 0;
 		memset(o->bits, 0, sizeof(o->bits));
+		o->zeros = OBJECT_BITS;
 		o->started_us = now_us;
 	}
+	if ((o->bits[bit / 8] >> bit % 8 & 1) == 0)
+		o->zeros--;
 	o->bits[bit / 8] |= (uint8_t)(1U << bit % 8);
 }
 
 double objects_now(const struct objects *o)
 {
-	unsigned i, zeros = 0;
+	unsigned zeros = o->zeros > 0 ? o->zeros : 1;
 
-	for (i = 0; i < OBJECT_BITS / 8; i++)
-		zeros += 8U - (unsigned)__builtin_popcount(o->bits[i]);
-	if (zeros == 0)
-		zeros = 1;
 	return -(double)OBJECT_BITS * log((double)zeros / OBJECT_BITS);
 }
 
@@ -39,6 +38,5 @@
 
 	if (o->last <= 0)
 		return HUGE_VAL;
-
 	return now > o->last ? now : o->last;
 }
--- a/lib/steer/place.c
+++ b/lib/steer/place.c
@@ -132,11 +132,11 @@
 }
 
 /* Expected time of an answer, in us. */
-static double cost_of(struct cs_steer *s, const struct cs_steer_ask *ask,
-		      const struct cs_backend *b, double factor, uint64_t now_us)
+static double cost_of(struct cs_steer *s, const struct cs_backend *b, double work, double factor,
+		      uint64_t now_us)
 {
 	double pace = pace_of(b, now_us) * (b->slow > 1 ? b->slow : 1);
-	double work = steer_work(s, ask), cost = pace * work * factor;
+	double cost = pace * work * factor;
 	unsigned slots = backend_slots(b), busy = place_busy(b, now_us);
 
 	if (busy >= slots)
@@ -175,7 +175,7 @@
 {
 	struct cs_backend *b, *best = NULL;
 	struct standing st;
-	double cost, least = 0;
+	double work = steer_work(s, ask), cost, least = 0;
 	struct holders h;
 	bool two;
 
@@ -189,7 +189,7 @@
 			continue;
 		if (limits_is_cold(b, now_us) && !limits_cold(s, b, now_us))
 			continue;
-		cost = cost_of(s, ask, b, st.factor, now_us);
+		cost = cost_of(s, b, work, st.factor, now_us);
 		if (best == NULL || cost < least) {
 			best = b;
 			least = cost;
--- a/lib/steer/regions.c
+++ b/lib/steer/regions.c
@@ -167,7 +167,6 @@
 	if (f->started_us == 0 || now_us - f->started_us < FREE_US) {
 		if (!flow_adopt(s, svc, now_us))
 			memcpy(f->share, f->goal, sizeof(f->share));
-		f->set = true;
 		return;
 	}
 	most = SHIFT_PART * s->opts.bounds.max_shift / SHIFT_WINDOW_S * (double)elapsed_us /
@@ -259,8 +258,6 @@
 
 	if (f->started_us == 0)
 		f->started_us = now_us;
-	if (!f->set)
-		f->share[s->region] = 1;
 	sum = shares_within(s, svc, mask, share);
 	if (sum <= 0)
 		return first_allowed(s, mask);
--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -79,7 +79,7 @@
 	b->key = (uint32_t)cs_hash_str(e->id, 0);
 	b->zone = zone;
 	b->region = s->zone_region[zone];
-	b->service = steer_service(s, e->service, true);
+	b->service = steer_service(s, e->service);
 	b->slow = 1;
 	TAILQ_INSERT_TAIL(&b->service->backends, b, entry);
 	RB_INSERT(backend_ids, &s->ids, b);
@@ -110,7 +110,7 @@
 static void backend_move(struct cs_steer *s, struct cs_backend *b, const char *service)
 {
 	TAILQ_REMOVE(&b->service->backends, b, entry);
-	b->service = steer_service(s, service, true);
+	b->service = steer_service(s, service);
 	TAILQ_INSERT_TAIL(&b->service->backends, b, entry);
 }
 
@@ -202,9 +202,8 @@
 	const struct cs_backend *b;
 	unsigned n = 0;
 
-	TAILQ_FOREACH(svc, &s->services, entry)
-		TAILQ_FOREACH(b, &svc->backends, entry)
-			n += b->listed && !b->said.draining;
+	FOREACH_BACKEND(s, svc, b)
+		n += b->listed && !b->said.draining;
 	return n;
 }
 
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -64,7 +64,6 @@
 	double goal[CS_REGIONS_MAX];
 	double debt[CS_REGIONS_MAX]; /* what each region is behind its share, in requests */
 	uint64_t started_us; /* first request; 0 before */
-	bool set; /* share was set at least once */
 	double extra; /* requests that may leave the plan now */
 };
 
@@ -73,6 +72,7 @@
 struct objects {
 	uint64_t started_us;
 	double last; /* of the last whole period */
+	unsigned zeros; /* bits that are not set */
 	uint8_t bits[OBJECT_BITS / 8];
 };
 
@@ -101,19 +101,14 @@
 	unsigned zone, region;
 	bool listed;
 	uint64_t heard_us; /* 0: never */
-	uint64_t seq;
-	bool store_fresh;
-	uint64_t store_revision;
-	struct cs_steer_report report;
+	struct cs_steer_report report; /* last one */
 };
 TAILQ_HEAD(member_list, member);
 
 /* What the other zones' digests say, by zone. */
 struct zone_digest {
-	uint64_t heard_us; /* 0: never */
-	char sender[CS_NAME_MAX];
-	uint64_t seq;
-	struct cs_steer_report report;
+	uint64_t heard_us;
+	struct cs_steer_report report; /* last one */
 };
 
 /* What was learned of a route; kept by name from document to document. */
@@ -146,7 +141,8 @@
 
 /* steer.c */
 int steer_zone(const struct cs_steer *s, const char *name);
-struct cs_steer_service *steer_service(struct cs_steer *s, const char *name, bool create);
+/* Service of a name, made if it is new. */
+struct cs_steer_service *steer_service(struct cs_steer *s, const char *name);
 /* Smooths a figure towards a sample with this weight. */
 void steer_smooth(double *v, double sample, double weight);
 
--- a/lib/steer/steer.c
+++ b/lib/steer/steer.c
@@ -106,19 +106,29 @@
 	s->opts.bounds = *bounds;
 }
 
-struct cs_steer_service *steer_service(struct cs_steer *s, const char *name, bool create)
+/* Service of a name, or NULL. */
+static struct cs_steer_service *find_service(const struct cs_steer *s, const char *name)
 {
 	struct cs_steer_service *svc;
 
 	TAILQ_FOREACH(svc, &s->services, entry)
 		if (strcmp(svc->name, name) == 0)
 			return svc;
-	if (!create)
-		return NULL;
+	return NULL;
+}
+
+struct cs_steer_service *steer_service(struct cs_steer *s, const char *name)
+{
+	struct cs_steer_service *svc = find_service(s, name);
+
+	if (svc != NULL)
+		return svc;
 	svc = cs_xcalloc(1, sizeof(*svc));
 	cs_copy(svc->name, sizeof(svc->name), name);
 	svc->key = (uint32_t)cs_hash_str(name, 0);
 	svc->work_us = FIRST_WORK_US;
+	svc->flow.share[s->region] = 1;
+	svc->objects.zeros = OBJECT_BITS;
 	TAILQ_INIT(&svc->backends);
 	TAILQ_INIT(&svc->waiting);
 	TAILQ_INSERT_TAIL(&s->services, svc, entry);
@@ -155,7 +165,7 @@
 	s->doc = doc;
 	s->routes = routes;
 	for (i = 0; i < doc->n_services; i++)
-		steer_service(s, doc->services[i].name, true);
+		steer_service(s, doc->services[i].name);
 	return true;
 }
 
@@ -207,10 +217,8 @@
 
 	if (s->doc != NULL && ask->version == s->doc->version && s->routes[ask->route].work_us > 0)
 		return s->routes[ask->route].work_us;
-	TAILQ_FOREACH(svc, &s->services, entry)
-		if (strcmp(svc->name, ask->service) == 0)
-			return svc->work_us;
-	return FIRST_WORK_US;
+	svc = find_service(s, ask->service);
+	return svc != NULL ? svc->work_us : FIRST_WORK_US;
 }
 
 void cs_steer_begin(struct cs_steer *s, struct cs_steer_ask *ask, const struct cs_route *route,
@@ -234,7 +242,7 @@
 	ask->route = (unsigned)i;
 	ask->version = s->doc->version;
 	ask->region = -1;
-	svc = steer_service(s, ask->service, true);
+	svc = steer_service(s, ask->service);
 	svc->arrivals++;
 	window_add(&svc->requests, now_us);
 	if (ask->sticky && ask->object != 0)
--- a/lib/steer/wait.c
+++ b/lib/steer/wait.c
@@ -25,11 +25,6 @@
 /* It needs a region whose slots are used at most to this part. */
 #define HEDGE_USE_MAX 0.85
 
-static void decide_send(struct cs_steer *s, struct cs_steer_ask *ask, struct cs_backend *b,
-			uint64_t now_us, struct cs_steer_decision *out);
-static void decide_refuse(struct cs_steer *s, struct cs_steer_ask *ask, enum cs_steer_reason reason,
-			  uint64_t now_us, struct cs_steer_decision *out);
-
 /* Best server for the request: in the region drawn, else elsewhere within the allowance. */
 static struct cs_backend *find_server(struct cs_steer *s, struct cs_steer_service *svc,
 				      struct cs_steer_ask *ask, uint64_t now_us)
@@ -133,7 +128,7 @@
 void cs_steer_decide(struct cs_steer *s, struct cs_steer_ask *ask, uint64_t now_us,
 		     struct cs_steer_decision *out)
 {
-	struct cs_steer_service *svc = steer_service(s, ask->service, true);
+	struct cs_steer_service *svc = steer_service(s, ask->service);
 	double need = WORK_PART_MIN * steer_work(s, ask);
 	struct cs_backend *b;
 	uint64_t until;
@@ -277,7 +272,7 @@
 
 struct cs_backend *cs_steer_hedge(struct cs_steer *s, struct cs_steer_ask *ask, uint64_t now_us)
 {
-	struct cs_steer_service *svc = steer_service(s, ask->service, true);
+	struct cs_steer_service *svc = steer_service(s, ask->service);
 	double work = steer_work(s, ask);
 	struct cs_backend *b;
 
--- a/src/node/front.c
+++ b/src/node/front.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "proxy/lines.h"
 #include "src/node/node.h"
 
 /* Descriptors kept for servers, the store and other instances; the rest is for callers. */
@@ -15,8 +16,8 @@
 /* Time to come back for callers of an instance that knows no document yet. */
 #define NOT_READY_RETRY_MS 300
 /* Lines added to the caller's, and their bytes. */
-#define OWN_LINES 4
-#define OWN_BYTES 128
+#define OWN_LINES (1 + CS_LINES_END)
+#define OWN_BYTES (16 + CS_LINES_END_BYTES)
 
 static void on_begin(struct cs_call *call, void *arg);
 static size_t on_body(struct cs_call *call, const char *data, size_t n, void *arg);
@@ -79,60 +80,36 @@
 	return !s->bad && s->hosts <= 1 && s->deadlines <= 1 && s->ids <= 1;
 }
 
-/* Second pass: lines for libcurl, one after another in one block. */
+/* Second pass. */
 struct writer {
 	const char *connection;
-	struct curl_slist *next;
-	char *at;
-	bool has_type, has_accept;
+	struct cs_lines lines;
 };
 
 /* Headers that are set for each send. */
 static bool is_own(const char *name)
 {
 	return strcasecmp(name, PLATFORM_H_DEADLINE) == 0 ||
-	       strcasecmp(name, PLATFORM_H_EXPECTED_SERVER) == 0 ||
-	       strcasecmp(name, "Content-Length") == 0;
-}
-
-/* Appends "name: value"; libcurl sends an empty value only for "name;" and drops "name:". */
-static void put_line(struct writer *w, const char *name, const char *separator, const char *value)
-{
-	w->next->data = w->at;
-	w->at = stpcpy(stpcpy(stpcpy(w->at, name), separator), value) + 1;
-	w->next->next = w->next + 1;
-	w->next++;
+	       strcasecmp(name, PLATFORM_H_EXPECTED_SERVER) == 0;
 }
 
 static bool write_line(const char *name, const char *value, void *arg)
 {
 	struct writer *w = arg;
 
-	if (head_is_hop(name) || is_own(name))
-		return true;
-	if (w->connection != NULL && head_list_has(w->connection, name))
-		return true;
-	w->has_type = w->has_type || strcasecmp(name, "Content-Type") == 0;
-	w->has_accept = w->has_accept || strcasecmp(name, "Accept") == 0;
-	put_line(w, name, *value ? ": " : ";", value);
+	if (head_goes_on(name, w->connection) && !is_own(name))
+		cs_lines_put(&w->lines, name, value);
 	return true;
 }
 
 static void build_lines(struct request *req, const struct scan *s)
 {
-	size_t slots = (s->n + OWN_LINES) * sizeof(struct curl_slist);
 	struct writer w = {.connection = s->connection};
 
-	req->lines = cs_xcalloc(1, slots + s->bytes + OWN_BYTES);
-	w.next = req->lines;
-	w.at = (char *)req->lines + slots;
+	cs_lines_begin(&w.lines, s->n + OWN_LINES, s->bytes + OWN_BYTES);
 	cs_call_headers(req->call, write_line, &w);
-	put_line(&w, "Expect", ":", "");
-	if (!w.has_accept)
-		put_line(&w, "Accept", ":", "");
-	if (!w.has_type)
-		put_line(&w, "Content-Type", ":", "");
-	(w.next - 1)->next = NULL;
+	cs_lines_omit(&w.lines, "Expect");
+	req->lines = cs_lines_end(&w.lines);
 }
 
 /* How long the caller waits, in ms; 0 if not stated. False if it cannot be read. */
@@ -304,11 +281,8 @@
 	size_t at = 0;
 
 	while (head_next(from, &at, &name, &value)) {
-		if (head_is_hop(name) || strcasecmp(name, "Content-Length") == 0)
-			continue;
-		if (connection != NULL && head_list_has(connection, name))
-			continue;
-		head_add(to, name, strlen(name), value, strlen(value));
+		if (head_goes_on(name, connection))
+			head_add(to, name, strlen(name), value, strlen(value));
 	}
 }
 
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -46,7 +46,6 @@
 	uint64_t seq;
 	bool large; /* reports stay in the zone */
 	TAILQ_HEAD(, peer) peers;
-	unsigned n_peers;
 	msgpack_sbuffer buf;
 	struct cs_steer_report out; /* being sent */
 	struct wire_message in; /* being read */
@@ -111,7 +110,6 @@
 static void peer_free(struct node_gossip *g, struct peer *p)
 {
 	TAILQ_REMOVE(&g->peers, p, entry);
-	g->n_peers--;
 	free(p);
 }
 
@@ -155,7 +153,6 @@
 		p = cs_xcalloc(1, sizeof(*p));
 		cs_copy(p->name, sizeof(p->name), name);
 		TAILQ_INSERT_TAIL(&g->peers, p, entry);
-		g->n_peers++;
 	}
 	cs_copy(p->zone, sizeof(p->zone), zone);
 	p->at = (struct sockaddr_in){.sin_family = AF_INET, .sin_port = htons(at->port)};
@@ -210,13 +207,13 @@
 	r->store_revision = feed_revision(g->node->feed);
 }
 
-static void send_near(struct node_gossip *g)
+static void send_near(struct node_gossip *g, const char *data, size_t len)
 {
 	struct peer *p;
 
 	TAILQ_FOREACH(p, &g->peers, entry)
 		if (is_near(g, p))
-			send_to(g, p, g->buf.data, g->buf.size);
+			send_to(g, p, data, len);
 }
 
 /* Forgets peers that are neither listed nor heard. */
@@ -240,7 +237,7 @@
 	cs_steer_report_out(g->node->steer, r, cs_mono_us());
 	fill_sender(g, r);
 	wire_pack_report(&g->buf, r);
-	send_near(g);
+	send_near(g, g->buf.data, g->buf.size);
 }
 
 /* Sends the zone's digest to one instance of each other zone. */
@@ -303,13 +300,8 @@
 /* A digest that came from another zone is handed on to this one. */
 static void hand_on(struct node_gossip *g, const struct peer *from, const char *data, size_t len)
 {
-	struct peer *p;
-
-	if (from == NULL || strcmp(from->zone, g->node->settings.zone) == 0)
-		return;
-	TAILQ_FOREACH(p, &g->peers, entry)
-		if (is_near(g, p))
-			send_to(g, p, data, len);
+	if (from != NULL && strcmp(from->zone, g->node->settings.zone) != 0)
+		send_near(g, data, len);
 }
 
 /* Peer that sends from an address; a digest's first sender may be another one. */
@@ -377,7 +369,7 @@
 	if (c->n == 0)
 		return;
 	wire_pack_changes(&g->buf, c);
-	send_near(g);
+	send_near(g, g->buf.data, g->buf.size);
 	c->from = c->to;
 	c->n = 0;
 }
--- a/src/proxyd/intake.c
+++ b/src/proxyd/intake.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "proxy/lines.h"
 #include "src/proxyd/proxyd.h"
 
 /* Lines added to the caller's: class, id and the removal of libcurl's own defaults. */
@@ -19,12 +20,10 @@
 	unsigned n;
 };
 
-/* Second pass: lines are written one after another into one block. */
+/* Second pass. */
 struct writer {
-	struct request *req;
 	const char *connection;
-	struct curl_slist *next;
-	char *at;
+	struct cs_lines lines;
 };
 
 /* Keeps the value of one of our own headers; a second one makes the request bad. */
@@ -73,78 +72,27 @@
 /* True for headers that the proxy sets itself. */
 static bool is_own(const char *name)
 {
-	return strncasecmp(name, "X-Cassia-", 9) == 0 || strcasecmp(name, "X-Request-Id") == 0 ||
-	       strcasecmp(name, "Content-Length") == 0;
-}
-
-/* Appends one "name: value" line; libcurl sends an empty value only for "name;". */
-static void write_line(struct writer *w, const char *name, const char *value)
-{
-	size_t n = strlen(name), v = strlen(value);
-
-	w->next->data = w->at;
-	memcpy(w->at, name, n);
-	w->at += n;
-	if (v == 0) {
-		*w->at++ = ';';
-	} else {
-		*w->at++ = ':';
-		*w->at++ = ' ';
-		memcpy(w->at, value, v);
-		w->at += v;
-	}
-	*w->at++ = '\0';
-	w->next->next = w->next + 1;
-	w->next++;
-}
-
-/* Appends "name:", which keeps libcurl from adding its default for that header. */
-static void write_removal(struct writer *w, const char *name)
-{
-	size_t n = strlen(name);
-
-	w->next->data = w->at;
-	memcpy(w->at, name, n);
-	w->at += n;
-	*w->at++ = ':';
-	*w->at++ = '\0';
-	w->next->next = w->next + 1;
-	w->next++;
+	return strncasecmp(name, "X-Cassia-", 9) == 0 || strcasecmp(name, "X-Request-Id") == 0;
 }
 
 static bool write_header(const char *name, const char *value, void *arg)
 {
 	struct writer *w = arg;
 
-	if (head_is_hop(name) || is_own(name))
-		return true;
-	if (w->connection != NULL && head_list_has(w->connection, name))
-		return true;
-	if (strcasecmp(name, "Content-Type") == 0)
-		w->req->has_content_type = true;
-	else if (strcasecmp(name, "Accept") == 0)
-		w->req->has_accept = true;
-	write_line(w, name, value);
+	if (head_goes_on(name, w->connection) && !is_own(name))
+		cs_lines_put(&w->lines, name, value);
 	return true;
 }
 
-/* Builds the list of lines for libcurl; all lines are one allocation. */
 static void build_lines(struct request *req, const struct scan *s)
 {
-	size_t slots = (s->n + OWN_LINES) * sizeof(struct curl_slist);
-	struct writer w = {.req = req, .connection = s->connection};
+	struct writer w = {.connection = s->connection};
 
-	req->lines = cs_xcalloc(1, slots + s->bytes + OWN_BYTES);
-	w.next = req->lines;
-	w.at = (char *)req->lines + slots;
-	write_line(&w, "X-Request-Id", req->id);
-	write_line(&w, "X-Cassia-Class", req->class_name);
+	cs_lines_begin(&w.lines, s->n + OWN_LINES, s->bytes + OWN_BYTES);
+	cs_lines_put(&w.lines, "X-Request-Id", req->id);
+	cs_lines_put(&w.lines, "X-Cassia-Class", req->class_name);
 	cs_call_headers(req->call, write_header, &w);
-	if (!req->has_accept)
-		write_removal(&w, "Accept");
-	if (!req->has_content_type)
-		write_removal(&w, "Content-Type");
-	(w.next - 1)->next = NULL;
+	req->lines = cs_lines_end(&w.lines);
 }
 
 /* Parses Content-Length and Transfer-Encoding; MHD does the framing itself. */
--- a/src/proxyd/proxyd.h
+++ b/src/proxyd/proxyd.h
@@ -107,7 +107,6 @@
 
 	/* Request header lines for libcurl, in one block. */
 	struct curl_slist *lines;
-	bool has_content_type, has_accept;
 
 	/* Body. */
 	bool has_body, body_ended, chunked, streaming, discard;
--- a/src/proxyd/reply.c
+++ b/src/proxyd/reply.c
@@ -79,9 +79,7 @@
 	size_t at = 0;
 
 	while (head_next(head, &at, &name, &value)) {
-		if (head_is_hop(name) || strcasecmp(name, "Content-Length") == 0)
-			continue;
-		if (connection != NULL && head_list_has(connection, name))
+		if (!head_goes_on(name, connection))
 			continue;
 		if (strcasecmp(name, "X-Ran") == 0 || strcasecmp(name, "X-Server-State") == 0 ||
 		    strcasecmp(name, "X-Request-Id") == 0)
--- a/tests/unit/steer-fixture.h
+++ b/tests/unit/steer-fixture.h
@@ -1,4 +1,4 @@
-/* A small installation for tests of lib/steer: three regions of two zones, one or two services. */
+/* A small deployment for tests of lib/steer: three regions of two zones, one or two services. */
 #ifndef STEER_FIXTURE_H
 #define STEER_FIXTURE_H
 
--- a/tests/unit/test-steer.c
+++ b/tests/unit/test-steer.c
@@ -41,7 +41,7 @@
 	cs_steer_destroy(s);
 }
 
-/* Guards against homes that name no region of the installation being taken for none. */
+/* Guards against homes that name no region of the deployment being taken for none. */
 static void test_home_unknown(void)
 {
 	uint64_t now = MS(1000);
@@ -89,28 +89,38 @@
 	cs_steer_destroy(s);
 }
 
-/* Guards against more requests in a second than a cold server bears, and against none at all. */
-static void test_cold_rate(void)
+/* Requests of one second, one every 5 ms, that are sent. */
+static unsigned sent_in_a_second(struct cs_steer *s, uint64_t *now)
 {
-	uint64_t now = MS(1000), start;
-	struct cs_steer *s = fixture_create("i1", "a1", now);
-	struct cs_steer_ask ask;
+	uint64_t start = *now;
 	struct cs_steer_decision d;
-	unsigned sent = 0, i;
+	struct cs_steer_ask ask;
+	unsigned sent = 0;
 
-	cs_steer_document(s, fixture_document(1, NULL), now);
-	fixture_server(s, "s1", "a1", 60000, now);
-	fixture_run(s, &now, MS(5000));
-	for (start = now; now < start + MS(1000); now += MS(5)) {
-		fixture_ask(s, &ask, 0, now);
-		cs_steer_decide(s, &ask, now, &d);
+	for (; *now < start + MS(1000); *now += MS(5)) {
+		fixture_ask(s, &ask, 0, *now);
+		cs_steer_decide(s, &ask, *now, &d);
 		if (d.verdict != CS_STEER_SEND) {
 			cs_steer_forget(s, &ask);
 			continue;
 		}
 		sent++;
-		cs_steer_ended(s, &ask, d.u.send.backend, CS_STEER_OK, MS(1), now);
+		cs_steer_ended(s, &ask, d.u.send.backend, CS_STEER_OK, MS(1), *now);
 	}
+	return sent;
+}
+
+/* Guards against more requests in a second than a cold server bears, and against none at all. */
+static void test_cold_rate(void)
+{
+	uint64_t now = MS(1000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	unsigned sent, i;
+
+	cs_steer_document(s, fixture_document(1, NULL), now);
+	fixture_server(s, "s1", "a1", 60000, now);
+	fixture_run(s, &now, MS(5000));
+	sent = sent_in_a_second(s, &now);
 	g_assert_cmpuint(sent, >, 0);
 	g_assert_cmpuint(sent, <=, 15);
 	/* An instance that hears none of nine others takes only its part. */
@@ -121,16 +131,7 @@
 		fixture_member(s, name, "a1", now);
 	}
 	fixture_run(s, &now, now + MS(10000));
-	for (sent = 0, start = now; now < start + MS(1000); now += MS(5)) {
-		fixture_ask(s, &ask, 0, now);
-		cs_steer_decide(s, &ask, now, &d);
-		if (d.verdict != CS_STEER_SEND) {
-			cs_steer_forget(s, &ask);
-			continue;
-		}
-		sent++;
-		cs_steer_ended(s, &ask, d.u.send.backend, CS_STEER_OK, MS(1), now);
-	}
+	sent = sent_in_a_second(s, &now);
 	g_assert_cmpuint(sent, <=, 2);
 	cs_steer_destroy(s);
 }
