Give a store call its time limit for the first byte, and more for the rest

One instance went without the store from 19.0 s to 38.2 s.

Cause: the limit of 722 ms to 2 s covered the whole answer. A document of 376 KB comes over a link of 10 Mbit/s from a slow store; curl cut it ("timed out after 722 ms with 270862 out of 375962 bytes") and the next try began from the first byte again.

Ruled out: hand-on between instances alone. The log of the late instance has its own calls cut in mid-body.

Change: cs_fetch_opts.answer_ms limits the time to the first byte, timeout_ms the whole answer.

--- a/lib/http/curl.c
+++ b/lib/http/curl.c
@@ -89,6 +89,11 @@
 	return c->multi;
 }
 
+struct cs_timers *cs_curl_timers(const struct cs_curl *c)
+{
+	return c->timers;
+}
+
 static struct transfer *transfer_of(CURL *easy)
 {
 	char *p = NULL;
--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -18,6 +18,7 @@
 	size_t len;
 	size_t max;
 	uint64_t index;
+	struct cs_timer answer; /* runs until the first byte */
 	char error[CURL_ERROR_SIZE];
 };
 
@@ -25,9 +26,11 @@
 static size_t on_header(char *data, size_t size, size_t n, void *arg);
 static int on_socket(void *arg, curl_socket_t fd, curlsocktype purpose);
 static void on_done(CURL *easy, CURLcode code, void *arg);
+static void on_no_answer(struct cs_timer *t, void *arg);
 
 static void fetch_free(struct cs_fetch *f)
 {
+	cs_timer_stop(&f->answer);
 	curl_easy_cleanup(f->easy);
 	curl_slist_free_all(f->headers);
 	free(f->request);
@@ -75,6 +78,9 @@
 		 * twice. */
 		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
 	}
+	cs_timer_init(&f->answer, on_no_answer, f);
+	if (opts->answer_ms > 0)
+		cs_timer_start(cs_curl_timers(c), &f->answer, opts->answer_ms * CS_US_PER_MS);
 	cs_curl_start(c, e, on_done, f);
 	return f;
 }
@@ -110,6 +116,7 @@
 	char number[32];
 	size_t rest;
 
+	cs_timer_stop(&f->answer);
 	if (len > sizeof(name) && strncasecmp(data, name, sizeof(name) - 1) == 0) {
 		rest = len - (sizeof(name) - 1);
 		if (rest >= sizeof(number))
@@ -127,15 +134,29 @@
 	return CURL_SOCKOPT_OK;
 }
 
-static void on_done(CURL *easy, CURLcode code, void *arg)
+/* Hands the result to the owner and ends the fetch. */
+static void finish(struct cs_fetch *f, CURLcode code)
 {
-	struct cs_fetch *f = arg;
 	struct cs_fetch_result res = {.code = code, .index = f->index};
 
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &res.status);
+	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &res.status);
 	res.body = f->body ? f->body : "";
 	res.len = f->len;
 	res.error = *f->error ? f->error : curl_easy_strerror(code);
 	f->cb(&res, f->arg);
 	fetch_free(f);
 }
+
+static void on_done(CURL *easy, CURLcode code, void *arg)
+{
+	finish(arg, code);
+}
+
+/* Not even the first byte came in time. */
+static void on_no_answer(struct cs_timer *t, void *arg)
+{
+	struct cs_fetch *f = arg;
+
+	cs_curl_abort(f->curl, f->easy);
+	finish(f, CURLE_OPERATION_TIMEDOUT);
+}
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -66,6 +66,7 @@
 struct cs_curl *cs_curl_create(struct ev_loop *loop, struct cs_timers *ts);
 void cs_curl_destroy(struct cs_curl *c);
 CURLM *cs_curl_multi(struct cs_curl *c);
+struct cs_timers *cs_curl_timers(const struct cs_curl *c);
 /* Starts a transfer; done is called once, after which the easy handle belongs to the caller. */
 void cs_curl_start(struct cs_curl *c, CURL *easy, cs_curl_done done, void *arg);
 /* Takes a running transfer out without calling done; its connection is closed. */
@@ -90,7 +91,8 @@
 	const char *interface; /* source IP or NULL */
 	const char *body; /* copied */
 	size_t body_len;
-	unsigned timeout_ms;
+	unsigned timeout_ms; /* for the whole answer */
+	unsigned answer_ms; /* for its first byte; 0: no limit besides */
 	size_t max_answer; /* bytes */
 };
 /* The handle is valid until the callback; cs_fetch_cancel ends it without a call. */
