Refuse an argument that is no flag in every program, not only in cassia-proxyd

cassia-node and four more programs dropped such a word silently. The check that cassia-proxyd had of its own moves into cs_settings_load. tests/unit/test-base.c: /base/settings/argument failed before.

--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -208,6 +208,11 @@
 		st = CS_SETTINGS_EXIT;
 		goto out;
 	}
+	if (*argc > 1) {
+		cs_msg_set(msg, "argument '%s' is not allowed; --help lists the settings",
+			   (*argv)[1]);
+		goto out;
+	}
 	if (load_environment(table, msg) && take_flags(table, raw, msg))
 		st = CS_SETTINGS_OK;
 out:
--- a/src/proxyd/main.c
+++ b/src/proxyd/main.c
@@ -213,11 +213,6 @@
 	}
 	cs_log_open("cassia-proxyd",
 		    (enum cs_level)cs_log_level_parse(cs_setting_text(settings, "log-level")));
-	if (argc > 1) {
-		cs_msg_set(&msg, "argument '%s' is not allowed; --help lists the settings",
-			   argv[1]);
-		goto bad;
-	}
 	if (!check_settings(&p, &msg))
 		goto bad;
 	signal(SIGPIPE, SIG_IGN);
--- a/tests/unit/test-base.c
+++ b/tests/unit/test-base.c
@@ -85,6 +85,23 @@
 	cs_settings_free(table);
 }
 
+/* Guards against a word that is no flag, as in "prog FILE", being dropped without a word. */
+static void test_settings_argument(void)
+{
+	struct cs_setting table[] = {
+		{"port", CS_SET_INT, "80", 1, 65535, NULL, "", "port", NULL, 0},
+		{NULL},
+	};
+	char *args[] = {"prog", "--port=82", "file.json", NULL};
+	char **argv = args;
+	struct cs_msg msg = {""};
+	int argc = 3;
+
+	g_assert_cmpint(cs_settings_load(table, "test", &argc, &argv, &msg), ==, CS_SETTINGS_BAD);
+	g_assert_nonnull(strstr(msg.text, "file.json"));
+	cs_settings_free(table);
+}
+
 /* Guards against an environment value that outweighs a flag. */
 static void test_settings_order(void)
 {
@@ -123,6 +140,7 @@
 	g_test_add_func("/base/timer/order", test_timer_order);
 	g_test_add_func("/base/hist/error", test_hist_error);
 	g_test_add_func("/base/settings/bad", test_settings_bad);
+	g_test_add_func("/base/settings/argument", test_settings_argument);
 	g_test_add_func("/base/settings/order", test_settings_order);
 	g_test_add_func("/base/nearest", test_nearest);
 	return g_test_run();
