Check datagrams between instances with lib/wire's check of whole objects

cassia-node unpacked a datagram without the check that cassia-agentd's messages pass first: msgpack allocates for the number of elements that a few damaged bytes claim, and bytes behind the message were ignored. wire_scan becomes cs_wire_is_whole and serves both. tests/unit/test-node-wire.c: /node/wire/not-whole failed before.

--- a/lib/wire/message.c
+++ b/lib/wire/message.c
@@ -242,7 +242,7 @@
 
 	m->arena = cs_xcalloc(1, sizeof(*m->arena));
 	msgpack_unpacked_init(&up);
-	if (!wire_scan(data, len) ||
+	if (!cs_wire_is_whole(data, len) ||
 	    msgpack_unpack_next(&up, data, len, &off) != MSGPACK_UNPACK_SUCCESS || off != len) {
 		cs_msg_set(msg, "not one whole msgpack object of %zu bytes", len);
 		goto fail;
--- a/lib/wire/scan.c
+++ b/lib/wire/scan.c
@@ -45,7 +45,7 @@
 	return (struct shape){0};
 }
 
-bool wire_scan(const uint8_t *p, size_t len)
+bool cs_wire_is_whole(const uint8_t *p, size_t len)
 {
 	uint64_t need = 1, count;
 	size_t off = 0;
--- a/lib/wire/wire-int.h
+++ b/lib/wire/wire-int.h
@@ -39,9 +39,6 @@
 void put_str(msgpack_packer *pk, const char *s);
 void put_bool(msgpack_packer *pk, bool v);
 
-/* True if the bytes are one whole object whose counts fit its size. */
-bool wire_scan(const uint8_t *p, size_t len);
-
 void pack_snapshot(msgpack_packer *pk, const struct cs_wire_snapshot *s);
 void parse_snapshot(struct reader *r, struct cs_wire_snapshot *s);
 void pack_report(msgpack_packer *pk, const struct cs_wire_report *rep);
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -195,6 +195,9 @@
 };
 void cs_wire_buf_free(struct cs_wire_buf *b);
 
+/* True if the bytes are one whole msgpack object whose counts fit its size; for any message. */
+bool cs_wire_is_whole(const uint8_t *p, size_t len);
+
 /* Packs a message by its type; the buffer is emptied first. */
 void cs_wire_pack(struct cs_wire_buf *b, const struct cs_wire_msg *m);
 /* NULL and a message if the bytes are no whole message of a known type. */
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "src/node/wire.h"
+#include "wire/wire.h"
 
 #define FORMAT 2
 /* Elements of each kind of message. */
@@ -261,7 +262,8 @@
 	uint32_t n;
 
 	msgpack_unpacked_init(&msg);
-	if (msgpack_unpack_next(&msg, data, len, &off) != MSGPACK_UNPACK_SUCCESS ||
+	if (!cs_wire_is_whole((const uint8_t *)data, len) ||
+	    msgpack_unpack_next(&msg, data, len, &off) != MSGPACK_UNPACK_SUCCESS ||
 	    msg.data.type != MSGPACK_OBJECT_ARRAY || msg.data.via.array.size < 2)
 		goto out;
 	v = msg.data.via.array.ptr;
--- a/tests/unit/test-node-wire.c
+++ b/tests/unit/test-node-wire.c
@@ -72,6 +72,22 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+/* Guards against a datagram that holds more than its message, and one with a claimed size only. */
+static void test_not_whole(void)
+{
+	static const char claim[] = "\x9a\x02\x01\xdd\x7f\xff\xff\xff";
+	msgpack_sbuffer buf;
+
+	msgpack_sbuffer_init(&buf);
+	fill_report(false);
+	wire_pack_report(&buf, &report);
+	msgpack_sbuffer_write(&buf, "\xc0", 1);
+	g_assert_true(wire_unpack(buf.data, buf.size - 1, &msg));
+	g_assert_false(wire_unpack(buf.data, buf.size, &msg));
+	g_assert_false(wire_unpack(claim, sizeof(claim) - 1, &msg));
+	msgpack_sbuffer_destroy(&buf);
+}
+
 /* Guards against reads past the end or crashes on datagrams that were changed on the way. */
 static void test_malformed(void)
 {
@@ -102,6 +118,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/node/wire/report", test_report);
 	g_test_add_func("/node/wire/changes", test_changes);
+	g_test_add_func("/node/wire/not-whole", test_not_whole);
 	g_test_add_func("/node/wire/malformed", test_malformed);
 	return g_test_run();
 }
