Sum what other instances report once a tick, not once for each service

At 1,700 instances a tick took 1.2 ms: each service walked all members again for its demand, services without a request planned shares that nobody used, and digest targets walked all members for each zone.

- members_sum adds up demand of all services in the walk that it makes anyway.
- Shares of a service are set at its first request and planned from then on.
- cs_steer_digest_targets names the targets of all zones in one walk.
- servers_sweep asks whether the store is steady only for servers that are kept.
- cs_steer_server_lapsed is cs_steer_server_gone with a time to keep.

--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -179,7 +179,8 @@
 /*
  * Fills the table (ended by a row with name NULL) from defaults, environment and flags, in that
  * order of growing weight. --version and --help print and give CS_SETTINGS_EXIT. On a bad value the
- * message names the setting, the value and what is allowed; on an argument that is no flag, that one.
+ * message names the setting, the value and what is allowed; on an argument that is no flag, it
+ * names it.
  */
 enum cs_settings_status cs_settings_load(struct cs_setting *table, const char *summary, int *argc,
 					 char ***argv, struct cs_msg *msg);
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -73,11 +73,6 @@
 	free(ev);
 }
 
-uint64_t cs_events_dropped(const struct cs_events *ev)
-{
-	return ev->dropped;
-}
-
 static void on_flush(struct cs_timer *t, void *arg)
 {
 	struct cs_events *ev = arg;
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -27,7 +27,5 @@
  */
 void cs_event(struct cs_events *ev, enum cs_event_class class, const char *name, const char *fmt,
 	      ...) __attribute__((format(printf, 4, 5)));
-/* Lines that were left out so far. */
-uint64_t cs_events_dropped(const struct cs_events *ev);
 
 #endif
--- a/lib/steer/members.c
+++ b/lib/steer/members.c
@@ -118,15 +118,38 @@
 	return digest_heard(s->digests[m->zone], now_us);
 }
 
-void members_sum(struct cs_steer *s, uint64_t now_us)
+/* Adds the work that a report states to the services' demand. */
+static void sum_work(struct cs_steer *s, const struct cs_steer_report *r, unsigned region)
+{
+	struct cs_steer_service *svc;
+	unsigned i;
+
+	for (i = 0; i < r->n_services; i++)
+		TAILQ_FOREACH(svc, &s->services, entry)
+			if (svc->key == r->services[i].service)
+				svc->demand[region] += r->services[i].work;
+}
+
+static void sums_reset(struct cs_steer *s)
 {
 	struct cs_steer_service *svc;
-	struct member *m, *next;
 	struct cs_backend *b;
+
+	TAILQ_FOREACH(svc, &s->services, entry) {
+		memset(svc->demand, 0, sizeof(svc->demand));
+		TAILQ_FOREACH(b, &svc->backends, entry)
+			b->peers_in_flight = 0;
+	}
+}
+
+/* One walk over the members for all services: in a large fleet there are many of both. */
+void members_sum(struct cs_steer *s, uint64_t now_us)
+{
+	const struct zone_digest *d;
+	struct member *m, *next;
 	unsigned n = 1, i;
 
-	FOREACH_BACKEND(s, svc, b)
-		b->peers_in_flight = 0;
+	sums_reset(s);
 	TAILQ_FOREACH_SAFE(m, &s->members, entry, next) {
 		if (!m->listed && now_us - m->heard_us > FORGET_US) {
 			TAILQ_REMOVE(&s->members, m, entry);
@@ -134,40 +157,24 @@
 			continue;
 		}
 		n++;
-		if (now_us - m->heard_us < PEER_REPORT_MAX_US && !member_in_digest(s, m, now_us))
+		if (member_in_digest(s, m, now_us))
+			continue;
+		if (now_us - m->heard_us < PEER_REPORT_MAX_US)
 			sum_rows(s, &m->report, m->heard_us);
+		if (member_heard(s, m, now_us))
+			sum_work(s, &m->report, m->region);
+	}
+	for (i = 0; i < s->n_zones; i++) {
+		d = s->digests[i];
+		if (!digest_heard(d, now_us))
+			continue;
+		sum_rows(s, &d->report, d->heard_us);
+		sum_work(s, &d->report, s->zone_region[i]);
 	}
-	for (i = 0; i < s->n_zones; i++)
-		if (digest_heard(s->digests[i], now_us))
-			sum_rows(s, &s->digests[i]->report, s->digests[i]->heard_us);
 	if (n > s->most_members)
 		s->most_members = n;
 }
 
-/* Work for a service that a report states. */
-static double report_work(const struct cs_steer_report *r, uint32_t service)
-{
-	unsigned i;
-
-	for (i = 0; i < r->n_services; i++)
-		if (r->services[i].service == service)
-			return r->services[i].work;
-	return 0;
-}
-
-void members_demand(const struct cs_steer *s, uint32_t service, double demand[], uint64_t now_us)
-{
-	const struct member *m;
-	unsigned i;
-
-	TAILQ_FOREACH(m, &s->members, entry)
-		if (member_heard(s, m, now_us) && !member_in_digest(s, m, now_us))
-			demand[m->region] += report_work(&m->report, service);
-	for (i = 0; i < s->n_zones; i++)
-		if (digest_heard(s->digests[i], now_us))
-			demand[s->zone_region[i]] += report_work(&s->digests[i]->report, service);
-}
-
 bool cs_steer_is_large(const struct cs_steer *s)
 {
 	const struct member *m;
@@ -208,20 +215,24 @@
 	return false;
 }
 
-const char *cs_steer_digest_target(const struct cs_steer *s, unsigned zone, uint64_t now_us)
+void cs_steer_digest_targets(const struct cs_steer *s, uint64_t now_us,
+			     const char *out[CS_ZONES_MAX])
 {
-	const struct zone_digest *d = s->digests[zone];
-	const struct member *m, *best = NULL;
+	const struct member *m, *best[CS_ZONES_MAX] = {NULL};
+	const struct zone_digest *d;
+	unsigned i;
 
 	TAILQ_FOREACH(m, &s->members, entry) {
-		if (m->zone != zone || !m->listed)
+		if (m->zone == s->zone || !m->listed)
 			continue;
+		d = s->digests[m->zone];
 		if (digest_heard(d, now_us) && !named_ready(d, m->key))
 			continue;
-		if (best == NULL || rank_weight(m->key) > rank_weight(best->key))
-			best = m;
+		if (best[m->zone] == NULL || rank_weight(m->key) > rank_weight(best[m->zone]->key))
+			best[m->zone] = m;
 	}
-	return best != NULL ? best->m.name : NULL;
+	for (i = 0; i < CS_ZONES_MAX; i++)
+		out[i] = best[i] != NULL ? best[i]->m.name : NULL;
 }
 
 uint64_t cs_steer_watched_revision(const struct cs_steer *s, uint64_t now_us)
--- a/lib/steer/regions.c
+++ b/lib/steer/regions.c
@@ -34,14 +34,13 @@
 
 /* Demand of each region in busy slots, from the reports and this instance's own arrivals. */
 static double demand_sum(const struct cs_steer *s, const struct cs_steer_service *svc,
-			 double demand[], uint64_t now_us)
+			 double demand[])
 {
 	double sum = 0;
 	unsigned i;
 
-	memset(demand, 0, CS_REGIONS_MAX * sizeof(*demand));
-	demand[s->region] = svc->rate * svc->work_us / CS_US_PER_S;
-	members_demand(s, svc->key, demand, now_us);
+	memcpy(demand, svc->demand, sizeof(svc->demand));
+	demand[s->region] += svc->rate * svc->work_us / CS_US_PER_S;
 	for (i = 0; i < s->n_regions; i++)
 		sum += demand[i];
 	return sum;
@@ -143,32 +142,53 @@
 	return true;
 }
 
-void regions_plan(struct cs_steer *s, struct cs_steer_service *svc, uint64_t elapsed_us,
-		  uint64_t now_us)
+static double capacity_sum(const struct cs_steer *s, const struct cs_steer_service *svc)
 {
-	double demand[CS_REGIONS_MAX], capacity = 0, sum, rate, most;
-	struct flow *f = &svc->flow;
+	double sum = 0;
 	unsigned i;
 
-	rate = svc->arrivals * (double)CS_US_PER_S / (double)elapsed_us;
-	f->extra += LEAVE_PART * svc->arrivals;
-	if (f->extra > LEAVE_MOST)
-		f->extra = LEAVE_MOST;
-	svc->arrivals = 0;
-	steer_smooth(&svc->rate, rate, 1 - exp(-(double)elapsed_us / RATE_US));
 	for (i = 0; i < s->n_regions; i++)
-		capacity += svc->capacity[i];
-	if (capacity <= 0)
+		sum += svc->capacity[i];
+	return sum;
+}
+
+/* Shares before demand was measured: those of the region's other instances, else by a guess. */
+static void flow_begin(const struct cs_steer *s, struct cs_steer_service *svc, uint64_t now_us)
+{
+	double demand[CS_REGIONS_MAX], capacity = capacity_sum(s, svc), sum;
+	struct flow *f = &svc->flow;
+
+	if (capacity <= 0 || flow_adopt(s, svc, now_us))
 		return;
-	sum = demand_sum(s, svc, demand, now_us);
-	if (f->started_us == 0 || now_us - f->started_us < FREE_US)
-		sum = demand_guess(s, capacity, demand);
+	sum = demand_guess(s, capacity, demand);
 	plan_goal(s, svc, demand, sum, capacity);
-	if (f->started_us == 0 || now_us - f->started_us < FREE_US) {
-		if (!flow_adopt(s, svc, now_us))
-			memcpy(f->share, f->goal, sizeof(f->share));
+	memcpy(f->share, f->goal, sizeof(f->share));
+}
+
+static void rate_update(struct cs_steer_service *svc, uint64_t elapsed_us)
+{
+	double rate = svc->arrivals * (double)CS_US_PER_S / (double)elapsed_us;
+
+	svc->flow.extra = fmin(svc->flow.extra + LEAVE_PART * svc->arrivals, LEAVE_MOST);
+	svc->arrivals = 0;
+	steer_smooth(&svc->rate, rate, 1 - exp(-(double)elapsed_us / RATE_US));
+}
+
+void regions_plan(struct cs_steer *s, struct cs_steer_service *svc, uint64_t elapsed_us,
+		  uint64_t now_us)
+{
+	double demand[CS_REGIONS_MAX], capacity = capacity_sum(s, svc), sum, most;
+	struct flow *f = &svc->flow;
+
+	rate_update(svc, elapsed_us);
+	if (f->started_us == 0 || capacity <= 0)
+		return;
+	if (now_us - f->started_us < FREE_US) {
+		flow_begin(s, svc, now_us);
 		return;
 	}
+	sum = demand_sum(s, svc, demand);
+	plan_goal(s, svc, demand, sum, capacity);
 	most = SHIFT_PART * s->opts.bounds.max_shift / SHIFT_WINDOW_S * (double)elapsed_us /
 	       CS_US_PER_S;
 	if (now_us - svc->capacity_changed_us < CHANGE_US)
@@ -256,8 +276,10 @@
 	double share[CS_REGIONS_MAX], sum;
 	struct flow *f = &svc->flow;
 
-	if (f->started_us == 0)
+	if (f->started_us == 0) {
 		f->started_us = now_us;
+		flow_begin(s, svc, now_us);
+	}
 	sum = shares_within(s, svc, mask, share);
 	if (sum <= 0)
 		return first_allowed(s, mask);
--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -122,7 +122,7 @@
 	/* A zone that the settings do not name cannot be placed. */
 	if (zone < 0) {
 		if (b != NULL)
-			cs_steer_server_gone(s, e->id, now_us);
+			cs_steer_server_gone(s, e->id, 0, now_us);
 		return;
 	}
 	if (b == NULL)
@@ -142,14 +142,19 @@
 		cs_steer_cold(s, b, e->cold_ms, now_us);
 }
 
-void cs_steer_server_gone(struct cs_steer *s, const char *id, uint64_t now_us)
+static void unlist(struct cs_backend *b, uint64_t until_us)
+{
+	b->listed = false;
+	b->gone_us = until_us;
+}
+
+void cs_steer_server_gone(struct cs_steer *s, const char *id, uint64_t keep_us, uint64_t now_us)
 {
 	struct cs_backend *b = find_id(s, id);
 
-	if (b == NULL)
-		return;
-	b->listed = false;
-	b->gone_us = now_us;
+	/* One that is kept already is not kept longer. */
+	if (b != NULL && (b->listed || keep_us == 0))
+		unlist(b, now_us + keep_us);
 }
 
 void cs_steer_reading_begin(struct cs_steer *s)
@@ -164,22 +169,9 @@
 {
 	struct cs_backend *b;
 
-	RB_FOREACH(b, backend_ids, &s->ids) {
-		if (b->named || !b->listed)
-			continue;
-		b->listed = false;
-		b->gone_us = now_us + keep_us;
-	}
-}
-
-void cs_steer_server_lapsed(struct cs_steer *s, const char *id, uint64_t keep_us, uint64_t now_us)
-{
-	struct cs_backend *b = find_id(s, id);
-
-	if (b == NULL || !b->listed)
-		return;
-	b->listed = false;
-	b->gone_us = now_us + keep_us;
+	RB_FOREACH(b, backend_ids, &s->ids)
+		if (b->listed && !b->named)
+			unlist(b, now_us + keep_us);
 }
 
 void cs_steer_evacuate(struct cs_steer *s, const char *zone, bool on, uint64_t now_us)
@@ -273,12 +265,11 @@
 
 void servers_sweep(struct cs_steer *s, uint64_t now_us)
 {
-	bool steady = cs_steer_store_steady(s, now_us);
 	struct cs_backend *b, *next;
 
 	RB_FOREACH_SAFE(b, backend_ids, &s->ids, next) {
 		/* Its entry lapsed for good: another instance had the store all the time. */
-		if (!b->listed && steady && b->gone_us > now_us)
+		if (!b->listed && b->gone_us > now_us && cs_steer_store_steady(s, now_us))
 			b->gone_us = now_us;
 		if (!b->listed && now_us >= b->gone_us && b->in_flight == 0)
 			backend_free(s, b);
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -85,6 +85,7 @@
 	unsigned n_waiting;
 	struct flow flow;
 	double capacity[CS_REGIONS_MAX]; /* usable slots */
+	double demand[CS_REGIONS_MAX]; /* busy slots that the other instances report */
 	uint64_t capacity_changed_us;
 	double rate; /* arrivals a second, smoothed */
 	unsigned arrivals; /* since the last tick */
@@ -209,9 +210,8 @@
 bool regions_leave(struct cs_steer_service *svc);
 
 /* members.c */
+/* Sums what the other instances report: in flight at each server, demand of each service. */
 void members_sum(struct cs_steer *s, uint64_t now_us);
-/* Demand of each region for a service in busy slots, added to what is there. */
-void members_demand(const struct cs_steer *s, uint32_t service, double demand[], uint64_t now_us);
 bool member_heard(const struct cs_steer *s, const struct member *m, uint64_t now_us);
 
 #endif
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -67,16 +67,17 @@
 
 /* Adds or renews a server. */
 void cs_steer_server(struct cs_steer *s, const struct cs_server_entry *e, uint64_t now_us);
-/* The entry of a server was removed. */
-void cs_steer_server_gone(struct cs_steer *s, const char *id, uint64_t now_us);
+/*
+ * The entry of a server was removed, or vanished while the store was away: the server stays usable
+ * for keep_us.
+ */
+void cs_steer_server_gone(struct cs_steer *s, const char *id, uint64_t keep_us, uint64_t now_us);
 /*
  * A whole reading of the store's entries begins or ends: servers that were not named between the
  * two calls are gone at the end, unless keep_us is given; they stay usable that much longer.
  */
 void cs_steer_reading_begin(struct cs_steer *s);
 void cs_steer_reading_end(struct cs_steer *s, uint64_t keep_us, uint64_t now_us);
-/* An entry vanished while the store was away: the server stays usable for keep_us. */
-void cs_steer_server_lapsed(struct cs_steer *s, const char *id, uint64_t keep_us, uint64_t now_us);
 /* Nothing may be sent to a zone's servers, or it may again. */
 void cs_steer_evacuate(struct cs_steer *s, const char *zone, bool on, uint64_t now_us);
 /* Number of servers that have an entry and do not drain. */
@@ -99,14 +100,14 @@
 	unsigned target_ms;
 	unsigned max_attempts;
 	bool sticky;
+	bool waiting;
+	int region; /* drawn at the first decision; -1 before */
 	unsigned route; /* index in the document of this version */
 	uint64_t version;
 	uint64_t home_mask; /* regions that may serve it */
 	uint32_t tried[CS_ASK_TRIED_MAX]; /* keys of servers that it was sent to */
 	unsigned n_tried;
 	unsigned n_sent; /* of these, sends that may have reached their server */
-	int region; /* drawn at the first decision; -1 before */
-	bool waiting;
 	uint64_t until_us; /* of the wait */
 	TAILQ_ENTRY(cs_steer_ask) entry;
 	struct cs_steer_service *queue;
@@ -269,8 +270,12 @@
  * the digests, 0 and 1 watch the store.
  */
 unsigned cs_steer_rank(const struct cs_steer *s, uint64_t now_us);
-/* Name of the instance of a zone that gets digests; NULL if none is known. */
-const char *cs_steer_digest_target(const struct cs_steer *s, unsigned zone, uint64_t now_us);
+/*
+ * Names of the instances that get this zone's digests, by zone; NULL for the own zone and where
+ * none is known.
+ */
+void cs_steer_digest_targets(const struct cs_steer *s, uint64_t now_us,
+			     const char *out[CS_ZONES_MAX]);
 /* Highest revision of the store known to an instance of the own zone that watches it; 0: none
  * watches. */
 uint64_t cs_steer_watched_revision(const struct cs_steer *s, uint64_t now_us);
@@ -287,7 +292,7 @@
 unsigned cs_steer_directory(struct cs_steer *s, const char *zone, const char *region,
 			    const struct cs_steer_member *self, uint64_t now_us,
 			    char out[][CS_ADDR_MAX + 8], unsigned n);
-/* Periodic work: plans the flows between regions; call it every 100 ms. */
+/* Periodic work: plans the flows between regions; call it every 50 ms. */
 void cs_steer_tick(struct cs_steer *s, uint64_t now_us);
 
 #endif
--- a/src/node/feed.c
+++ b/src/node/feed.c
@@ -184,16 +184,13 @@
 			 "server=%s revision=%llu keep_ms=%llu", id,
 			 (unsigned long long)it->revision,
 			 (unsigned long long)(keep / CS_US_PER_MS));
-		if (keep > 0)
-			cs_steer_server_lapsed(n->steer, id, keep, now);
-		else
-			cs_steer_server_gone(n->steer, id, now);
+		cs_steer_server_gone(n->steer, id, keep, now);
 		return;
 	}
 	if (!platform_server(id, it->value, it->len, &e, &msg)) {
 		cs_event(n->events, CS_EVENT_KEEP, "server.refused", "server=%s why=\"%s\"", id,
 			 msg.text);
-		cs_steer_server_gone(n->steer, id, now);
+		cs_steer_server_gone(n->steer, id, 0, now);
 		return;
 	}
 	cs_event(n->events, CS_EVENT_KEEP, "server.entry",
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -246,7 +246,7 @@
 	struct cs_steer *steer = g->node->steer;
 	struct cs_steer_report *r = &g->out;
 	uint64_t now = cs_mono_us();
-	const char *name;
+	const char *target[CS_ZONES_MAX];
 	struct peer *p;
 	unsigned i;
 
@@ -254,11 +254,9 @@
 	cs_steer_digest_out(steer, r, now);
 	fill_sender(g, r);
 	wire_pack_report(&g->buf, r);
-	for (i = 0; i < g->node->settings.n_zones; i++) {
-		if (strcmp(g->node->settings.zones[i].name, g->node->settings.zone) == 0)
-			continue;
-		name = cs_steer_digest_target(steer, i, now);
-		p = name != NULL ? find_peer(g, name) : NULL;
+	cs_steer_digest_targets(steer, now, target);
+	for (i = 0; i < CS_ZONES_MAX; i++) {
+		p = target[i] != NULL ? find_peer(g, target[i]) : NULL;
 		if (p != NULL)
 			send_to(g, p, g->buf.data, g->buf.size);
 	}
--- /dev/null
+++ b/tests/bench/bench-steer.c
@@ -0,0 +1,140 @@
+/* Cost of an instance's periodic work at the future size: prints NAME VALUE UNIT lines. */
+#include <stdio.h>
+#include <string.h>
+
+#include "steer/steer.h"
+
+#define ZONES 96
+#define ZONES_PER_REGION 4
+#define MEMBERS 1700
+#define SERVERS 4000
+#define SERVICES 12
+#define TICK_US (50 * CS_US_PER_MS)
+#define TICKS 400
+#define ROUNDS 400
+
+static struct cs_steer_zone zones[ZONES];
+static struct cs_steer_report report;
+static uint64_t now = 100 * CS_US_PER_S;
+
+static void set_name(char *out, const char *prefix, unsigned i)
+{
+	snprintf(out, CS_NAME_MAX, "%s-%u", prefix, i);
+}
+
+/* A document with one route to each service. */
+static struct cs_document *document(void)
+{
+	struct cs_document *doc = cs_document_create(SERVICES, SERVICES);
+	struct cs_route *r;
+	unsigned i;
+
+	doc->version = 1;
+	for (i = 0; i < SERVICES; i++) {
+		r = &doc->routes[i];
+		set_name(r->name, "r", i);
+		r->host = cs_xstrdup("h.example");
+		r->prefix = cs_xasprintf("/%u/", i);
+		r->timeout_ms = 1000;
+		r->n_parts = 1;
+		r->parts[0].weight = 1;
+		set_name(r->parts[0].service, "s", i);
+		set_name(doc->services[i].name, "s", i);
+	}
+	cs_document_seal(doc);
+	return doc;
+}
+
+static struct cs_steer *create(void)
+{
+	struct cs_steer_opts o = {.zones = zones,
+				  .n_zones = ZONES,
+				  .bounds = {.retry_window_s = 10, .max_shift = 0.15},
+				  .instance = "i-0",
+				  .zone = "z-0",
+				  .seed = 1};
+	struct cs_server_entry e = {.addr = "127.0.0.1", .port = 80, .slots = 4, .born_ms = 1};
+	struct cs_steer_member m = {.boot = 1, .ready = true};
+	struct cs_steer *s;
+	unsigned i;
+
+	for (i = 0; i < ZONES; i++) {
+		set_name(zones[i].name, "z", i);
+		set_name(zones[i].region, "g", i / ZONES_PER_REGION);
+	}
+	s = cs_steer_create(&o, now);
+	cs_steer_document(s, document(), now);
+	for (i = 0; i < SERVERS; i++) {
+		set_name(e.id, "b", i);
+		set_name(e.service, "s", i % SERVICES);
+		set_name(e.zone, "z", i % ZONES);
+		cs_steer_server(s, &e, now);
+	}
+	for (i = 1; i < MEMBERS; i++) {
+		set_name(m.name, "i", i);
+		set_name(m.zone, "z", i % ZONES);
+		cs_steer_member(s, &m, now);
+	}
+	return s;
+}
+
+/* One request of each service, so that all of them have a plan. */
+static void ask_all(struct cs_steer *s)
+{
+	static struct cs_steer_ask asks[SERVICES];
+	struct cs_steer_decision d;
+	unsigned i;
+
+	cs_steer_tick(s, now += TICK_US);
+	for (i = 0; i < SERVICES; i++) {
+		cs_steer_begin(s, &asks[i], &cs_steer_current(s)->routes[i], 2500, now);
+		cs_steer_decide(s, &asks[i], now, &d);
+		if (d.verdict == CS_STEER_SEND)
+			cs_steer_ended(s, &asks[i], d.u.send.backend, CS_STEER_OK, 20000, now);
+	}
+}
+
+/* One digest of each other zone. */
+static void digests(struct cs_steer *s, uint64_t seq)
+{
+	unsigned z;
+
+	for (z = 1; z < ZONES; z++) {
+		memset(&report, 0, sizeof(report));
+		set_name(report.name, "i", z);
+		report.boot = 1;
+		report.seq = seq;
+		report.ready = report.digest = true;
+		report.n_services = SERVICES;
+		cs_steer_digest_in(s, &report, now);
+	}
+}
+
+static void print_us(const char *name, uint64_t began, unsigned n)
+{
+	printf("%s %.1f us\n", name, (double)(cs_mono_us() - began) / n);
+}
+
+int main(void)
+{
+	const char *targets[CS_ZONES_MAX];
+	struct cs_steer *s = create();
+	uint64_t began;
+	unsigned i;
+
+	ask_all(s);
+	began = cs_mono_us();
+	for (i = 0; i < TICKS; i++)
+		cs_steer_tick(s, now += TICK_US);
+	print_us("steer_tick_us_1700", began, TICKS);
+	began = cs_mono_us();
+	for (i = 0; i < ROUNDS; i++)
+		digests(s, i + 1);
+	print_us("steer_digest_in_us_1700", began, ROUNDS * (ZONES - 1));
+	began = cs_mono_us();
+	for (i = 0; i < ROUNDS; i++)
+		cs_steer_digest_targets(s, now, targets);
+	print_us("steer_digest_targets_us_1700", began, ROUNDS);
+	cs_steer_destroy(s);
+	return 0;
+}
--- a/tests/unit/test-steer.c
+++ b/tests/unit/test-steer.c
@@ -32,7 +32,7 @@
 		fixture_ask(s, &ask, i % 2 ? (uint64_t)i << 40 : 0, now);
 		g_assert_cmpstr(decide(s, &ask, now), !=, "s1");
 	}
-	cs_steer_server_gone(s, "s2", now);
+	cs_steer_server_gone(s, "s2", 0, now);
 	fixture_run(s, &now, MS(5000));
 	for (i = 0; i < 50; i++) {
 		fixture_ask(s, &ask, i % 2 ? (uint64_t)i << 40 : 0, now);
@@ -210,7 +210,7 @@
 	cs_steer_reading_begin(s);
 	fixture_server(s, "s2", "a2", 0, now);
 	cs_steer_reading_end(s, MS(2000), now);
-	cs_steer_server_gone(s, "s2", now);
+	cs_steer_server_gone(s, "s2", 0, now);
 	fixture_run(s, &now, MS(2900));
 	fixture_ask(s, &ask, 0, now);
 	g_assert_cmpstr(decide(s, &ask, now), ==, "s1");
@@ -297,7 +297,7 @@
 	fixture_server(s, "s1", "a1", 0, now);
 	fixture_member(s, "i2", "a2", now);
 	g_assert_false(cs_steer_store_steady(s, now));
-	cs_steer_server_lapsed(s, "s1", MS(2000), now);
+	cs_steer_server_gone(s, "s1", MS(2000), now);
 	fixture_run(s, &now, MS(1100));
 	fixture_ask(s, &ask, 0, now);
 	g_assert_cmpstr(decide(s, &ask, now), ==, "s1");
