--- /dev/null
+++ b/tests/unit/test-platform.c
@@ -0,0 +1,54 @@
+/* The settings file (platform/settings.c): what is taken and what is refused. */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "platform/platform.h"
+
+static struct platform_settings settings;
+
+/* Loads a file with so many zones; the message is that of the refusal. */
+static bool load(unsigned zones, struct cs_msg *msg)
+{
+	GString *text = g_string_new(
+		"{\"node-name\":\"i\",\"zone\":\"z0\",\"region\":\"r\",\"ip-address\":\"127.0.0."
+		"1\","
+		"\"listen\":{\"front\":\"127.0.0.1:1\",\"ready\":\"127.0.0.1:2\","
+		"\"directory\":\"127.0.0.1:3\"},\"platform\":{\"address\":\"127.0.0.1:4\"},"
+		"\"internal-port-range\":[10,20],\"zones\":{");
+	char path[] = "/tmp/cassia-settings-XXXXXX";
+	unsigned i;
+	bool ok;
+	int fd;
+
+	for (i = 0; i < zones; i++)
+		g_string_append_printf(text, "%s\"z%u\":\"r\"", i > 0 ? "," : "", i);
+	g_string_append(text, "}}");
+	fd = g_mkstemp(path);
+	g_assert_cmpint(fd, >=, 0);
+	g_assert_true(g_file_set_contents(path, text->str, (gssize)text->len, NULL));
+	ok = platform_settings_load(path, &settings, msg);
+	g_close(fd, NULL);
+	g_unlink(path);
+	g_string_free(text, TRUE);
+	return ok;
+}
+
+/* Guards against zones beyond the limit being left out, whose servers would then get no request. */
+static void test_zones(void)
+{
+	struct cs_msg msg = {""};
+
+	g_assert_true(load(CS_ZONES_MAX, &msg));
+	g_assert_cmpuint(settings.n_zones, ==, CS_ZONES_MAX);
+	g_assert_false(load(CS_ZONES_MAX + 1, &msg));
+	g_assert_nonnull(strstr(msg.text, "zones"));
+	g_assert_false(load(0, &msg));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform/settings/zones", test_zones);
+	return g_test_run();
+}
