--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -163,7 +163,7 @@
  * slot; NULL if there is none or the budget has no room.
  */
 struct cs_backend *cs_steer_hedge(struct cs_steer *s, struct cs_steer_ask *ask, uint64_t now_us);
-/* Delay after which a request is late enough for cs_steer_hedge, in us; 0: never. */
+/* Delay after which a request is late enough for cs_steer_hedge, in us. */
 uint64_t cs_steer_hedge_delay(struct cs_steer *s, const struct cs_steer_ask *ask);
 
 enum cs_steer_outcome {
--- a/lib/steer/wait.c
+++ b/lib/steer/wait.c
@@ -22,7 +22,7 @@
 #define RETRY_MIN_MS 50
 /* A second send follows after this many times the usual work. */
 #define HEDGE_WORK_FACTOR 4.0
-/* It needs a region whose slots are used at most to this part. */
+/* It needs a server whose slots are used at most to this part. */
 #define HEDGE_USE_MAX 0.85
 
 /* Best server for the request: in the region drawn, else elsewhere within the allowance. */
@@ -281,7 +281,7 @@
 	if ((double)now_us + work > (double)ask->deadline_us || !limits_repeat(s, svc, now_us))
 		return NULL;
 	b = place_in(s, svc, ask, (unsigned)ask->region, now_us);
-	if (b == NULL || place_busy(b, now_us) + 1 > HEDGE_USE_MAX * backend_slots(b))
+	if (b == NULL || !place_has_room(b, HEDGE_USE_MAX, now_us))
 		return NULL;
 	place_take(s, ask, b, now_us);
 	return b;
--- a/src/node/front.c
+++ b/src/node/front.c
@@ -179,7 +179,6 @@
 	req->ask.object = object != NULL ? cs_hash_str(object, 0) : 0;
 	req->ask.arg = req;
 	cs_steer_begin(n->steer, &req->ask, r, budget_ms, now);
-	req->caller_deadline_us = budget_ms > 0 ? now + budget_ms * CS_US_PER_MS : 0;
 	return true;
 }
 
@@ -269,7 +268,6 @@
 		head_add(&lines, "Retry-After", 11, text, strlen(text));
 	}
 	req->stage = STAGE_ANSWER;
-	req->status = status;
 	cs_call_answer(req->call, status, &lines, body, (size_t)n);
 	head_free(&lines);
 }
@@ -290,21 +288,21 @@
 {
 	struct cs_transfer *t = s->transfer;
 	struct ring *data = cs_transfer_data(t);
+	unsigned status = cs_transfer_status(t);
 	struct head lines = {0};
 	bool until_close;
 
 	copy_lines(cs_transfer_head(t), &lines);
 	req->stage = STAGE_ANSWER;
-	req->status = cs_transfer_status(t);
 	if (cs_transfer_bodiless(t) && cs_transfer_length(t) != UINT64_MAX) {
 		/* The length is that of the answer to a request with a body. */
-		cs_call_stream(req->call, req->status, &lines, cs_transfer_length(t), false);
+		cs_call_stream(req->call, status, &lines, cs_transfer_length(t), false);
 	} else if (cs_transfer_state(t) == CS_TRANSFER_WHOLE && ring_whole(data)) {
-		cs_call_answer(req->call, req->status, &lines, data->data ? data->data : "",
+		cs_call_answer(req->call, status, &lines, data->data ? data->data : "",
 			       ring_used(data));
 	} else {
 		until_close = cs_transfer_framing(t) == CS_FRAMING_CLOSE;
-		cs_call_stream(req->call, req->status, &lines, cs_transfer_length(t), until_close);
+		cs_call_stream(req->call, status, &lines, cs_transfer_length(t), until_close);
 	}
 	head_free(&lines);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -32,7 +32,6 @@
 	struct cs_backend *backend;
 	struct cs_transfer *transfer;
 	uint64_t started_us;
-	bool hedge;
 	bool load_taken;
 	char server[CS_NAME_MAX];
 	/* Header lines of this send come before those of the request. */
@@ -58,7 +57,6 @@
 	char id[REQUEST_ID_SIZE];
 	char route[CS_NAME_MAX];
 	enum cs_repeat repeat;
-	uint64_t caller_deadline_us; /* of the caller alone; 0: not stated */
 	struct curl_slist *lines; /* header lines for servers, in one block */
 	bool has_body, body_ended, streaming;
 	uint64_t content_length; /* UINT64_MAX: chunked */
@@ -67,7 +65,6 @@
 	struct send *winner; /* its answer streams to the caller */
 	bool maybe_run; /* an ended send may have run */
 	unsigned n_sends;
-	unsigned status; /* of the answer */
 	struct cs_timer deadline, hedge;
 };
 
@@ -100,7 +97,7 @@
 	struct cs_lanes *lanes;
 	struct cs_ingress *front;
 	struct cs_httpd *ready_httpd, *directory_httpd, *metrics_httpd;
-	struct cs_curl *control; /* calls to the store and to health paths */
+	struct cs_curl *control; /* calls to the store */
 	struct platform_store *store;
 	struct node_feed *feed;
 	struct node_member *member;
--- a/src/node/send.c
+++ b/src/node/send.c
@@ -46,7 +46,6 @@
 
 	s->req = req;
 	s->backend = b;
-	s->hedge = hedge;
 	s->started_us = cs_mono_us();
 	cs_copy(s->server, sizeof(s->server), cs_backend_id(b));
 	set_lines(s, s->started_us);
