node: log blocked iterations of the loop, slow responses of the store and unsent time of requests

New: loop.blocked and cassia_node_turn_us (time of an iteration of the loop), store.slow_response (time from first to last byte) and store.catch_up (a follower reads the changes itself), size and time of installation in document.in_force, unsent_ms in request.answered and cassia_node_send_delay_us (time from the choice of a server to the send). No behaviour changes.

--- a/lib/base/timer.c
+++ b/lib/base/timer.c
@@ -13,10 +13,13 @@
 	struct timer_tree tree;
 	uint64_t now_us;
 	uint64_t expected_wakeup_us; /* latest time at which the loop should wake up */
+	uint64_t turn_us; /* start of the current iteration; 0 before the first one */
 	uint64_t next_seq;
 	uint64_t suspend_limit_us;
 	cs_suspend_cb suspend_cb;
 	void *suspend_arg;
+	cs_turn_cb turn_cb;
+	void *turn_arg;
 };
 
 /* Longest sleep of the loop, so that a suspension is detected soon after the process resumes. */
@@ -84,6 +87,12 @@
 	ts->suspend_arg = arg;
 }
 
+void cs_timers_on_turn(struct cs_timers *ts, cs_turn_cb cb, void *arg)
+{
+	ts->turn_cb = cb;
+	ts->turn_arg = arg;
+}
+
 void cs_timer_init(struct cs_timer *t, cs_timer_cb cb, void *arg)
 {
 	*t = (struct cs_timer){.cb = cb, .arg = arg};
@@ -145,6 +154,8 @@
 	if (t != NULL && t->due_us < now + wait)
 		wait = t->due_us > now ? t->due_us - now : 0;
 	ts->expected_wakeup_us = now + wait;
+	if (ts->turn_cb != NULL && ts->turn_us > 0)
+		ts->turn_cb(now - ts->turn_us, ts->turn_arg);
 	ev_now_update(loop);
 	ev_timer_stop(loop, &ts->timer);
 	ev_timer_set(&ts->timer, (double)wait / (double)CS_US_PER_S, 0.);
@@ -156,7 +167,7 @@
 	struct cs_timers *ts = w->data;
 	uint64_t delay;
 
-	ts->now_us = cs_mono_us();
+	ts->now_us = ts->turn_us = cs_mono_us();
 	delay = ts->now_us > ts->expected_wakeup_us ? ts->now_us - ts->expected_wakeup_us : 0;
 	if (ts->suspend_cb != NULL && delay > ts->suspend_limit_us)
 		ts->suspend_cb(delay, ts->suspend_arg);
--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -19,6 +19,7 @@
 	size_t len;
 	size_t max_body;
 	uint64_t index;
+	uint64_t response_us; /* when the response began; 0: it has not */
 	struct cs_timer first_byte_timer; /* active until the response begins */
 	char error[CURL_ERROR_SIZE];
 };
@@ -121,6 +122,8 @@
 	size_t number_len;
 
 	cs_timer_stop(&f->first_byte_timer);
+	if (f->response_us == 0)
+		f->response_us = cs_mono_us();
 	if (len > sizeof(index_header) &&
 	    strncasecmp(data, index_header, sizeof(index_header) - 1) == 0) {
 		number_len = len - (sizeof(index_header) - 1);
@@ -147,6 +150,8 @@
 	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &res.status);
 	res.body = f->body ? f->body : "";
 	res.len = f->len;
+	if (f->response_us > 0)
+		res.receive_us = cs_mono_us() - f->response_us;
 	res.error = *f->error ? f->error : curl_easy_strerror(code);
 	f->cb(&res, f->arg);
 	fetch_free(f);
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -86,6 +86,7 @@
 	const char *body; /* NUL-terminated; valid during the callback */
 	size_t len;
 	uint64_t index; /* X-Consul-Index header; 0 if absent */
+	uint64_t receive_us; /* time from the first byte of the response to its end */
 	const char *error;
 };
 typedef void (*cs_fetch_cb)(const struct cs_fetch_result *res, void *arg);
--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -47,6 +47,7 @@
 	bool stale; /* the kept connection that libcurl chose was unusable */
 	bool resent; /* sent again after a kept connection failed */
 	bool resend_aborted; /* libcurl tried to send the request again, which is not allowed */
+	uint64_t sent_us; /* time of the last send; 0: unsent */
 	uint64_t key; /* sockets_key of its connection; set when the request is sent */
 	int new_fd; /* new connection that is not yet in sockets, or -1 */
 	bool send_paused, recv_paused;
@@ -328,6 +329,11 @@
 	return t->state;
 }
 
+uint64_t cs_transfer_sent_us(const struct cs_transfer *t)
+{
+	return t->sent_us;
+}
+
 bool cs_transfer_has_head(const struct cs_transfer *t)
 {
 	return t->has_head;
@@ -463,6 +469,7 @@
 	}
 	t->key = key;
 	t->state = CS_TRANSFER_SENT;
+	t->sent_us = cs_mono_us();
 	return CURL_PREREQFUNC_OK;
 }
 
--- a/lib/proxy/transfer.h
+++ b/lib/proxy/transfer.h
@@ -65,6 +65,8 @@
 void cs_transfer_stop(struct cs_transfer *t);
 
 enum cs_transfer_state cs_transfer_state(const struct cs_transfer *t);
+/* When the request was sent last; 0 if it was not. */
+uint64_t cs_transfer_sent_us(const struct cs_transfer *t);
 /* True once the response headers were received. */
 bool cs_transfer_has_head(const struct cs_transfer *t);
 /*
--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -92,9 +92,11 @@
 {
 	struct request *req = a->req;
 	struct node *n = req->node;
-	uint64_t now = cs_mono_us();
+	uint64_t now = cs_mono_us(), sent_us = cs_transfer_sent_us(a->transfer);
 
 	cs_transfer_stop(a->transfer);
+	if (sent_us > 0)
+		cs_hist_add(n->stats.send_delay, sent_us - a->started_us);
 	/* A timeout before any byte was sent does not measure the latency of the server. */
 	if (outcome == CS_STEER_TIMEOUT && cs_transfer_state(a->transfer) == CS_TRANSFER_UNSENT)
 		outcome = CS_STEER_UNSENT;
--- a/src/node/main.c
+++ b/src/node/main.c
@@ -9,6 +9,8 @@
 
 /* Period required by cs_steer_tick. */
 #define TICK_INTERVAL_US (50 * CS_US_PER_MS)
+/* Iterations of the event loop that take longer are logged. */
+#define TURN_LOGGED_US (250 * CS_US_PER_MS)
 
 static struct cs_setting options[] = {
 	{.name = "settings",
@@ -38,6 +40,7 @@
 
 static void on_tick(struct cs_timer *t, void *arg);
 static void on_dispatch(struct cs_timer *t, void *arg);
+static void on_turn(uint64_t duration_us, void *arg);
 
 bool node_ready(const struct node *n)
 {
@@ -73,6 +76,16 @@
 	requests_dispatch(arg);
 }
 
+static void on_turn(uint64_t duration_us, void *arg)
+{
+	struct node *n = arg;
+
+	cs_hist_add(n->stats.turn, duration_us);
+	if (duration_us >= TURN_LOGGED_US)
+		cs_event(n->events, CS_EVENT_IMPORTANT, "loop.blocked", "ms=%llu",
+			 (unsigned long long)(duration_us / CS_US_PER_MS));
+}
+
 static void steer_start(struct node *n)
 {
 	struct cs_steer_opts opts = {.zones = n->settings.zones,
@@ -94,6 +107,7 @@
 	n->events = cs_events_create(n->loop, n->timers, STDOUT_FILENO, n->settings.instance);
 	TAILQ_INIT(&n->requests);
 	stats_init(&n->stats);
+	cs_timers_on_turn(n->timers, on_turn, n);
 	steer_start(n);
 	n->connections = cs_transfer_pool_create(n->loop, n->timers, n->settings.addr);
 	n->control_curl = cs_curl_create(n->loop, n->timers);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -83,7 +83,7 @@
 	uint64_t *sends, *leaving_sends, *limited_sends, *repeats, *hedges, *sheds, *misdirected,
 		*unsent, *broken, *cancelled;
 	uint64_t *probes, *store_failures, *reports_in, *reports_out;
-	struct cs_hist *latency, *wait;
+	struct cs_hist *latency, *wait, *send_delay, *turn;
 	int64_t *ready, *members, *servers, *limited_servers, *limit_part, *document,
 		*document_problems, *in_flight, *store_unreachable;
 };
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -276,10 +276,11 @@
 		 failed || late || req->n_attempts > 1 ? CS_EVENT_IMPORTANT : CS_EVENT_SAMPLED,
 		 "request.answered",
 		 "id=%s route=%s service=%s server=%s zone=%s object=%08x status=%u took_ms=%llu "
-		 "send_ms=%u target_ms=%u sends=%u late=%d load=%s",
+		 "send_ms=%u unsent_ms=%u target_ms=%u sends=%u late=%d load=%s",
 		 req->id, req->route, req->steer_state.service, a->server,
 		 cs_backend_zone(a->backend), (unsigned)req->steer_state.object, status,
 		 (unsigned long long)(took / CS_US_PER_MS), ms_since(a->started_us, now),
+		 ms_since(a->started_us, cs_transfer_sent_us(a->transfer)),
 		 req->steer_state.target_ms, req->n_attempts, late, load != NULL ? load : "-");
 }
 
--- a/src/node/stats.c
+++ b/src/node/stats.c
@@ -63,6 +63,10 @@
 				     "Time from a request's head to its answer");
 	s->wait = cs_metrics_hist(m, "cassia_node_wait_us", "",
 				  "Time from a request's head to a send");
+	s->send_delay = cs_metrics_hist(m, "cassia_node_send_delay_us", "",
+					"Time from the choice of a server to the send");
+	s->turn = cs_metrics_hist(m, "cassia_node_turn_us", "",
+				  "Time from a wake-up of the event loop until it sleeps again");
 	s->ready = cs_metrics_gauge(m, "cassia_node_ready", "", "1 if callers may come");
 	s->members = cs_metrics_gauge(m, "cassia_node_members", "",
 				      "Instances heard lately, this one included");
--- a/src/node/store-sync.c
+++ b/src/node/store-sync.c
@@ -7,6 +7,8 @@
 
 /* Prefix of all keys: a single watch covers the document, servers, evacuations and instances. */
 #define ALL_KEYS ""
+/* Responses of the store that take longer to arrive are logged. */
+#define SLOW_RESPONSE_US (200 * CS_US_PER_MS)
 
 struct store_sync {
 	struct node *node;
@@ -123,6 +125,11 @@
 					  on_page, ss);
 		break;
 	case CS_FEED_WATCH:
+		if (ss->state.following)
+			cs_event(n->events, CS_EVENT_IMPORTANT, "store.catch_up",
+				 "revision=%llu behind_ms=%llu", (unsigned long long)step.after,
+				 (unsigned long long)(now - ss->state.behind_since_us) /
+					 CS_US_PER_MS);
 		ss->call = platform_watch(n->store, ALL_KEYS, step.after, step.wait_ms,
 					  step.timeout_ms, on_watch, ss);
 		break;
@@ -145,6 +152,18 @@
 		 resp->message, (unsigned long long)ss->state.revision);
 }
 
+/* Logs a response that took long to arrive, during which no other change arrives. */
+static void log_slow_response(struct store_sync *ss, const struct platform_response *resp)
+{
+	if (resp->receive_us < SLOW_RESPONSE_US)
+		return;
+	cs_event(ss->node->events, CS_EVENT_IMPORTANT, "store.slow_response",
+		 "status=%s bytes=%zu items=%u receive_ms=%llu revision=%llu",
+		 platform_status_name(resp->status), resp->bytes, resp->n_items,
+		 (unsigned long long)(resp->receive_us / CS_US_PER_MS),
+		 (unsigned long long)resp->revision);
+}
+
 static void call_failed(struct store_sync *ss, const struct platform_response *resp)
 {
 	cs_feed_call_failed(&ss->state, cs_mono_us());
@@ -154,6 +173,7 @@
 static void apply_document(struct store_sync *ss, const struct platform_item *it, uint64_t now)
 {
 	struct node *n = ss->node;
+	uint64_t begin = cs_mono_us();
 	struct cs_document *doc;
 	struct cs_msg msg;
 	unsigned i;
@@ -176,8 +196,10 @@
 	if (doc->idle_timeout_ms > 0)
 		cs_ingress_set_idle_timeout(n->ingress, doc->idle_timeout_ms / 1000 + 1);
 	cs_event(n->events, CS_EVENT_IMPORTANT, "document.in_force",
-		 "version=%llu revision=%llu problems=%u", (unsigned long long)doc->version,
-		 (unsigned long long)it->revision, doc->n_problems);
+		 "version=%llu revision=%llu problems=%u routes=%u bytes=%zu install_ms=%llu",
+		 (unsigned long long)doc->version, (unsigned long long)it->revision,
+		 doc->n_problems, doc->n_routes, it->len,
+		 (unsigned long long)(cs_mono_us() - begin) / CS_US_PER_MS);
 	for (i = 0; i < doc->n_problems && i < CS_DOCUMENT_PROBLEMS_MAX; i++)
 		cs_event(n->events, CS_EVENT_IMPORTANT, "document.problem",
 			 "version=%llu why=\"%s\"", (unsigned long long)doc->version,
@@ -312,6 +334,7 @@
 	unsigned i;
 
 	ss->call = NULL;
+	log_slow_response(ss, resp);
 	if (resp->status != PLATFORM_OK) {
 		call_failed(ss, resp);
 	} else {
@@ -356,6 +379,7 @@
 	unsigned i;
 
 	ss->call = NULL;
+	log_slow_response(ss, resp);
 	switch (resp->status) {
 	case PLATFORM_OK:
 		from = ss->state.revision;
