--- a/tests/unit/test-store-follow.c
+++ b/tests/unit/test-store-follow.c
@@ -15,6 +15,12 @@
 #define SEND_US MS(150)
 /* Calls in 10 s: those of two roots in each zone, and a few more at each change. */
 #define CALLS_MAX 300
+/*
+ * Time in which an instance receives a document of 1 MB over a link of 10 Mbit/s, and in which it
+ * parses and installs it on a tenth of a core.
+ */
+#define DOCUMENT_TRANSFER_US MS(1100)
+#define DOCUMENT_INSTALL_US MS(900)
 
 /* An instance's call to the store. */
 struct call {
@@ -22,12 +28,15 @@
 	bool lost; /* made or pending while the instance was cut off from the store */
 	struct cs_feed_step step;
 	uint64_t made_us;
+	uint64_t ends_us; /* when the instance has received and processed the response; 0: open */
+	uint64_t until; /* revision of that response */
 };
 
 static struct call calls[FLEET_MAX];
 static bool cut[FLEET_MAX];
 static uint64_t next_poll_us[FLEET_MAX];
 static uint64_t revision; /* of the store */
+static uint64_t document_revision; /* of the last document */
 static uint64_t store_delay_us; /* of its responses */
 static unsigned n_calls;
 
@@ -41,6 +50,7 @@
 	memset(cut, 0, sizeof(cut));
 	memset(next_poll_us, 0, sizeof(next_poll_us));
 	revision = 10;
+	document_revision = 0;
 	store_delay_us = MS(4);
 	n_calls = 0;
 	for (i = 0; i < n_fleet; i++) {
@@ -49,15 +59,33 @@
 	}
 }
 
-/* Sends changes to the other instances of the zone, as src/node/gossip.c does. */
-static void relay(unsigned from, uint64_t after)
+static void relay_datagram(unsigned from, uint64_t after, uint64_t until)
 {
 	unsigned i;
 
-	for (i = 0; i < n_fleet; i++)
+	for (i = 0; after < until && i < n_fleet; i++)
 		if (i != from && !fleet[i].dead && zone_index(i) == zone_index(from) &&
-		    cs_rng_below(&rng, 100) >= loss_pct)
-			cs_feed_apply_relayed(&fleet[i].feed, after, revision, now);
+		    !calls[i].pending && cs_rng_below(&rng, 100) >= loss_pct)
+			cs_feed_apply_relayed(&fleet[i].feed, after, until, now);
+}
+
+/*
+ * Sends changes to the other instances of the zone, as src/node/gossip.c does. A document does not
+ * fit into a datagram.
+ */
+static void relay(unsigned from, uint64_t after, uint64_t until)
+{
+	if (document_revision > after && document_revision <= until) {
+		relay_datagram(from, after, document_revision - 1);
+		after = document_revision;
+	}
+	relay_datagram(from, after, until);
+}
+
+/* Time in which an instance receives and processes a response with the changes after a revision. */
+static uint64_t response_us(uint64_t after)
+{
+	return document_revision > after ? DOCUMENT_TRANSFER_US + DOCUMENT_INSTALL_US : 0;
 }
 
 /* Ends the call of an instance if its response has arrived, or if it has timed out. */
@@ -79,14 +107,21 @@
 	    (!read && !changed &&
 	     now - c->made_us < c->step.wait_ms * CS_US_PER_MS + store_delay_us))
 		return;
+	if (c->ends_us == 0) {
+		c->ends_us = now + response_us(read ? 0 : c->step.after);
+		c->until = revision;
+	}
+	if (now < c->ends_us)
+		return;
 	c->pending = false;
 	if (read) {
-		cs_feed_page_read(f, revision, false, now);
+		cs_feed_page_read(f, c->until, false, now);
 		return;
 	}
-	cs_feed_watch_completed(f, revision, changed, now);
+	changed = c->until > c->step.after;
+	cs_feed_watch_completed(f, c->until, changed, now);
 	if (changed)
-		relay(i, c->step.after);
+		relay(i, c->step.after, c->until);
 }
 
 /* Makes the next call of an instance if it is due, as src/node/store-sync.c does. */
@@ -179,6 +214,39 @@
 	g_assert_cmpuint(worst, <=, DRAIN_US - SEND_US);
 }
 
+/*
+ * Guards against servers that get requests long after their entry says that they drain because a
+ * document is on the way: entries change twice a second while two documents follow each other.
+ */
+static void test_document_does_not_delay_entries(void)
+{
+	uint64_t written_us[64], worst = 0, known;
+	unsigned i, j, k, n = 0, first;
+
+	create_with_store();
+	run(MS(4000));
+	first = (unsigned)revision + 1;
+	for (k = 0; k < 24; k++) {
+		revision++;
+		if (k == 4 || k == 11)
+			document_revision = revision;
+		written_us[n++] = now;
+		for (i = 0; i < MS(500) / STEP_US; i++) {
+			run(STEP_US);
+			known = revision;
+			for (j = 0; j < n_fleet; j++)
+				if (fleet[j].feed.revision < known)
+					known = fleet[j].feed.revision;
+			if (known + 1 < first + n && now - written_us[known + 1 - first] > worst)
+				worst = now - written_us[known + 1 - first];
+		}
+	}
+	fleet_destroy();
+	g_test_message("an entry is known to all instances after %u ms at worst",
+		       (unsigned)(worst / CS_US_PER_MS));
+	g_assert_cmpuint(worst, <=, DRAIN_US - SEND_US);
+}
+
 /*
  * Guards against followers that call the store although the roots of their zone watch it, also if
  * it is slow and changes now and then.
@@ -213,6 +281,8 @@
 	g_test_add_data_func("/steer/follow/roots-without-store", &cut_off,
 			     test_change_applied_without_roots);
 	g_test_add_data_func("/steer/follow/roots-dead", &dead, test_change_applied_without_roots);
+	g_test_add_func("/steer/follow/document-does-not-delay-entries",
+			test_document_does_not_delay_entries);
 	g_test_add_func("/steer/follow/few-calls", test_few_calls_while_roots_watch);
 	return g_test_run();
 }
