--- a/lib/steer/steer.c
+++ b/lib/steer/steer.c
@@ -132,18 +132,53 @@
 	return svc;
 }
 
-/* Copies the service time of the route of the same name in the old document. */
-static void route_state_copy(const struct cs_steer *s, const struct cs_route *r,
-			     struct route_state *to)
+/* Service time of a route, which a route of the same name in a later document takes over. */
+struct known_time {
+	const char *route;
+	double service_time_us;
+};
+
+static int known_time_cmp(const void *a, const void *b)
 {
-	unsigned i;
+	const struct known_time *x = a, *y = b;
 
-	for (i = 0; s->doc != NULL && i < s->doc->n_routes; i++) {
-		if (strcmp(s->doc->routes[i].name, r->name) != 0)
-			continue;
-		to->service_time_us = s->routes[i].service_time_us;
-		return;
+	return strcmp(x->route, y->route);
+}
+
+/*
+ * Returns the service times of the current document's routes, sorted by name; the caller frees
+ * them. Routes without a measured service time are omitted.
+ */
+static struct known_time *known_times(const struct cs_steer *s, unsigned *n)
+{
+	unsigned i, n_routes = s->doc != NULL ? s->doc->n_routes : 0;
+	struct known_time *times = cs_xcalloc(n_routes, sizeof(*times));
+
+	*n = 0;
+	for (i = 0; i < n_routes; i++)
+		if (s->routes[i].service_time_us > 0)
+			times[(*n)++] = (struct known_time){s->doc->routes[i].name,
+							    s->routes[i].service_time_us};
+	qsort(times, *n, sizeof(*times), known_time_cmp);
+	return times;
+}
+
+/* Creates the state of a document's routes, with the service times that are known. */
+static struct route_state *route_states_create(const struct cs_steer *s,
+					       const struct cs_document *doc)
+{
+	struct route_state *routes = cs_xcalloc(doc->n_routes, sizeof(*routes));
+	unsigned i, n;
+	struct known_time *times = known_times(s, &n), *found;
+
+	for (i = 0; i < doc->n_routes; i++) {
+		found = bsearch(&(struct known_time){.route = doc->routes[i].name}, times, n,
+				sizeof(*times), known_time_cmp);
+		if (found != NULL)
+			routes[i].service_time_us = found->service_time_us;
 	}
+	free(times);
+	return routes;
 }
 
 bool cs_steer_set_document(struct cs_steer *s, struct cs_document *doc, uint64_t now_us)
@@ -155,9 +190,7 @@
 		cs_document_destroy(doc);
 		return false;
 	}
-	routes = cs_xcalloc(doc->n_routes, sizeof(*routes));
-	for (i = 0; i < doc->n_routes; i++)
-		route_state_copy(s, &doc->routes[i], &routes[i]);
+	routes = route_states_create(s, doc);
 	cs_document_destroy(s->doc);
 	free(s->routes);
 	s->doc = doc;
