node: read a document in slices between other work of the event loop

The document is now read about 16 KB at a time (platform_document_reader), 60 slices of a document of 1 MB; requests and store changes are handled in between. A document that is known by its revision is not read again, as after a full read of the store. While one is read, only the latest that arrives is kept.

The JSON library reads the elements of the lists; test-platform-odd checks with 20,000 mutated documents that the reader accepts what the library accepts, apart from NUL bytes, of which the library skips some.

--- a/lib/steer/document.c
+++ b/lib/steer/document.c
@@ -13,12 +13,41 @@
 	struct cs_document *doc = cs_xcalloc(1, sizeof(*doc));
 
 	doc->routes = cs_xcalloc(n_routes, sizeof(*doc->routes));
-	doc->n_routes = n_routes;
+	doc->n_routes = doc->max_routes = n_routes;
 	doc->services = cs_xcalloc(n_services, sizeof(*doc->services));
-	doc->n_services = n_services;
+	doc->n_services = doc->max_services = n_services;
 	return doc;
 }
 
+/* Returns the array with room for more than n elements, at least doubled when it is full. */
+static void *array_grow(void *array, unsigned n, unsigned *max, size_t size)
+{
+	if (n < *max)
+		return array;
+	*max = *max > 0 ? 2 * *max : 16;
+	return cs_xrealloc(array, *max, size);
+}
+
+struct cs_route *cs_document_add_route(struct cs_document *doc)
+{
+	struct cs_route *r;
+
+	doc->routes = array_grow(doc->routes, doc->n_routes, &doc->max_routes, sizeof(*r));
+	r = &doc->routes[doc->n_routes++];
+	memset(r, 0, sizeof(*r));
+	return r;
+}
+
+struct cs_service_def *cs_document_add_service(struct cs_document *doc)
+{
+	struct cs_service_def *d;
+
+	doc->services = array_grow(doc->services, doc->n_services, &doc->max_services, sizeof(*d));
+	d = &doc->services[doc->n_services++];
+	memset(d, 0, sizeof(*d));
+	return d;
+}
+
 void cs_document_destroy(struct cs_document *doc)
 {
 	unsigned i;
--- a/lib/steer/document.h
+++ b/lib/steer/document.h
@@ -61,9 +61,9 @@
 struct cs_document {
 	uint64_t version;
 	struct cs_route *routes; /* sorted by host, then longest prefix first */
-	unsigned n_routes;
+	unsigned n_routes, max_routes; /* places in use and allocated */
 	struct cs_service_def *services;
-	unsigned n_services;
+	unsigned n_services, max_services;
 	unsigned idle_timeout_ms; /* of client connections; 0: unknown */
 	/* Routes whose host or prefix cannot be read: any request without a route may be theirs. */
 	unsigned n_unmatchable;
@@ -74,6 +74,12 @@
 
 /* Allocates room for the given numbers of routes and services, which the caller fills in. */
 struct cs_document *cs_document_create(unsigned n_routes, unsigned n_services);
+/*
+ * Appends an empty route or service and returns it; the pointer is valid until the next one is
+ * appended.
+ */
+struct cs_route *cs_document_add_route(struct cs_document *doc);
+struct cs_service_def *cs_document_add_service(struct cs_document *doc);
 void cs_document_destroy(struct cs_document *doc);
 /* Returns where to write the message on another unreadable part. */
 struct cs_msg *cs_document_add_problem(struct cs_document *doc);
--- /dev/null
+++ b/src/node/document-load.c
@@ -0,0 +1,131 @@
+/*
+ * Puts the operators' document in force. A long one is read in slices between other work of the
+ * event loop, on which requests and changes of servers wait.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "src/node/node.h"
+
+/* The text of a document that waits to be read. */
+struct document_text {
+	char *text; /* NULL: none */
+	size_t len;
+	uint64_t revision;
+	uint64_t received_us;
+};
+
+struct document_load {
+	struct node *node;
+	struct platform_document_reader *reader; /* NULL: no document is being read */
+	struct document_text reading; /* its text belongs to the reader */
+	struct document_text next; /* the latest one that arrived meanwhile */
+	struct cs_timer slice_timer;
+	uint64_t handled_revision; /* of the last document that was read or refused */
+};
+
+static void on_slice(struct cs_timer *t, void *arg);
+
+struct document_load *document_load_create(struct node *n)
+{
+	struct document_load *dl = cs_xcalloc(1, sizeof(*dl));
+
+	dl->node = n;
+	cs_timer_init(&dl->slice_timer, on_slice, dl);
+	return dl;
+}
+
+void document_load_destroy(struct document_load *dl)
+{
+	if (dl == NULL)
+		return;
+	cs_timer_stop(&dl->slice_timer);
+	platform_document_reader_destroy(dl->reader);
+	free(dl->next.text);
+	free(dl);
+}
+
+/* Begins to read the document that waits, if there is one. */
+static void read_next(struct document_load *dl)
+{
+	if (dl->next.text == NULL)
+		return;
+	dl->reading = dl->next;
+	dl->next.text = NULL;
+	dl->reader = platform_document_reader_create(dl->reading.text, dl->reading.len);
+	cs_timer_start(dl->node->timers, &dl->slice_timer, 0);
+}
+
+void document_load_start(struct document_load *dl, const struct platform_item *it)
+{
+	uint64_t latest = dl->handled_revision;
+
+	if (dl->reader != NULL)
+		latest = dl->reading.revision;
+	if (dl->next.text != NULL)
+		latest = dl->next.revision;
+	/* Full reads return a document again that is known. */
+	if (it->revision <= latest)
+		return;
+	free(dl->next.text);
+	dl->next = (struct document_text){.text = cs_xcalloc(1, it->len + 1),
+					  .len = it->len,
+					  .revision = it->revision,
+					  .received_us = cs_mono_us()};
+	memcpy(dl->next.text, it->value, it->len);
+	if (dl->reader == NULL)
+		read_next(dl);
+}
+
+static void document_refused(struct document_load *dl, const struct cs_msg *msg)
+{
+	cs_event(dl->node->events, CS_EVENT_IMPORTANT, "document.refused",
+		 "revision=%llu why=\"%s\"", (unsigned long long)dl->reading.revision, msg->text);
+}
+
+static void document_apply(struct document_load *dl, struct cs_document *doc)
+{
+	const struct document_text *from = &dl->reading;
+	struct node *n = dl->node;
+	uint64_t now = cs_mono_us();
+	unsigned i;
+
+	if (!cs_steer_set_document(n->steer, doc, now))
+		return;
+	*n->stats.document = (int64_t)doc->version;
+	*n->stats.document_problems = doc->n_problems;
+	if (doc->idle_timeout_ms > 0)
+		cs_ingress_set_idle_timeout(n->ingress, doc->idle_timeout_ms / 1000 + 1);
+	cs_event(n->events, CS_EVENT_IMPORTANT, "document.in_force",
+		 "version=%llu revision=%llu problems=%u routes=%u bytes=%zu install_ms=%llu",
+		 (unsigned long long)doc->version, (unsigned long long)from->revision,
+		 doc->n_problems, doc->n_routes, from->len,
+		 (unsigned long long)(now - from->received_us) / CS_US_PER_MS);
+	for (i = 0; i < doc->n_problems && i < CS_DOCUMENT_PROBLEMS_MAX; i++)
+		cs_event(n->events, CS_EVENT_IMPORTANT, "document.problem",
+			 "version=%llu why=\"%s\"", (unsigned long long)doc->version,
+			 doc->problems[i].text);
+}
+
+static void on_slice(struct cs_timer *t, void *arg)
+{
+	struct document_load *dl = arg;
+	struct cs_document *doc = NULL;
+	struct cs_msg msg;
+
+	switch (platform_document_reader_next(dl->reader, &doc, &msg)) {
+	case PLATFORM_READING_MORE:
+		cs_timer_start(dl->node->timers, t, 0);
+		return;
+	case PLATFORM_READING_DONE:
+		document_apply(dl, doc);
+		break;
+	case PLATFORM_READING_INVALID:
+		document_refused(dl, &msg);
+		break;
+	}
+	platform_document_reader_destroy(dl->reader);
+	dl->reader = NULL;
+	dl->handled_revision = dl->reading.revision;
+	read_next(dl);
+}
--- a/src/node/main.c
+++ b/src/node/main.c
@@ -112,6 +112,7 @@
 	n->connections = cs_transfer_pool_create(n->loop, n->timers, n->settings.addr);
 	n->control_curl = cs_curl_create(n->loop, n->timers);
 	n->store = platform_store_create(n->control_curl, &n->settings.store);
+	n->document_load = document_load_create(n);
 	n->store_sync = store_sync_create(n);
 	n->gossip = gossip_create(n, msg);
 	if (n->gossip == NULL || !frontend_start(n, msg))
@@ -134,6 +135,7 @@
 	cs_ingress_destroy(n->ingress);
 	registration_destroy(n->registration);
 	store_sync_destroy(n->store_sync);
+	document_load_destroy(n->document_load);
 	gossip_destroy(n->gossip);
 	platform_store_destroy(n->store);
 	cs_curl_destroy(n->control_curl);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -2,6 +2,7 @@
  * node: state shared by the parts of cassia-node, which runs as a single process on each instance
  * of the users' platform. frontend.c accepts client requests, request.c runs the state machine of
  * each request, and attempt.c sends requests to backend servers. store-sync.c mirrors the store,
+ * document-load.c puts its document in force,
  * registration.c keeps this instance's entry in it, and gossip.c exchanges reports with the other
  * instances. lib/steer makes the routing decisions.
  */
@@ -110,6 +111,7 @@
 	struct cs_curl *control_curl; /* for calls to the store */
 	struct platform_store *store;
 	struct store_sync *store_sync;
+	struct document_load *document_load;
 	struct registration *registration;
 	struct node_gossip *gossip;
 	struct node_stats stats;
@@ -195,6 +197,12 @@
 /* True while calls to the store fail. */
 bool store_sync_is_unreachable(const struct store_sync *ss);
 
+/* document-load.c: reads documents and puts them in force. */
+struct document_load *document_load_create(struct node *n);
+void document_load_destroy(struct document_load *dl);
+/* Begins to read a document unless this revision is known; the item need not outlive the call. */
+void document_load_start(struct document_load *dl, const struct platform_item *it);
+
 /* registration.c: this instance's own key in the store. */
 struct registration *registration_create(struct node *n);
 void registration_destroy(struct registration *r);
--- a/src/node/store-sync.c
+++ b/src/node/store-sync.c
@@ -21,7 +21,6 @@
 	bool unreachable_logged;
 	enum cs_feed_role role_logged;
 	bool following_logged;
-	uint64_t rejected_revision; /* store revision of the last document that was rejected */
 	uint64_t relayed_grace_us; /* grace period of the relayed changes being applied; 0: none */
 };
 
@@ -170,42 +169,6 @@
 	log_store_transition(ss, resp);
 }
 
-static void apply_document(struct store_sync *ss, const struct platform_item *it, uint64_t now)
-{
-	struct node *n = ss->node;
-	uint64_t begin = cs_mono_us();
-	struct cs_document *doc;
-	struct cs_msg msg;
-	unsigned i;
-
-	if (it->value == NULL)
-		return;
-	doc = platform_document_parse(it->value, it->len, &msg);
-	if (doc == NULL) {
-		if (ss->rejected_revision != it->revision)
-			cs_event(n->events, CS_EVENT_IMPORTANT, "document.refused",
-				 "revision=%llu why=\"%s\"", (unsigned long long)it->revision,
-				 msg.text);
-		ss->rejected_revision = it->revision;
-		return;
-	}
-	if (!cs_steer_set_document(n->steer, doc, now))
-		return;
-	*n->stats.document = (int64_t)doc->version;
-	*n->stats.document_problems = doc->n_problems;
-	if (doc->idle_timeout_ms > 0)
-		cs_ingress_set_idle_timeout(n->ingress, doc->idle_timeout_ms / 1000 + 1);
-	cs_event(n->events, CS_EVENT_IMPORTANT, "document.in_force",
-		 "version=%llu revision=%llu problems=%u routes=%u bytes=%zu install_ms=%llu",
-		 (unsigned long long)doc->version, (unsigned long long)it->revision,
-		 doc->n_problems, doc->n_routes, it->len,
-		 (unsigned long long)(cs_mono_us() - begin) / CS_US_PER_MS);
-	for (i = 0; i < doc->n_problems && i < CS_DOCUMENT_PROBLEMS_MAX; i++)
-		cs_event(n->events, CS_EVENT_IMPORTANT, "document.problem",
-			 "version=%llu why=\"%s\"", (unsigned long long)doc->version,
-			 doc->problems[i].text);
-}
-
 /*
  * How long a server stays usable after its entry has disappeared. An entry may have expired only
  * because the server could not renew its lease while the store was unreachable; the server then
@@ -296,7 +259,8 @@
 
 	switch (platform_key_parse(it->key, &name)) {
 	case PLATFORM_KEY_DOCUMENT:
-		apply_document(ss, it, now);
+		if (it->value != NULL)
+			document_load_start(ss->node->document_load, it);
 		break;
 	case PLATFORM_KEY_SERVER:
 		apply_server(ss, name, it, now);
--- a/tests/unit/test-platform-odd.c
+++ b/tests/unit/test-platform-odd.c
@@ -261,6 +261,96 @@
 	}
 }
 
+/* True if the text is JSON (the library skips some NUL bytes) and has the fields without which it
+ * is refused. */
+static bool is_acceptable(const char *text, size_t len)
+{
+	json_t *root = json_loadb(text, len, JSON_DECODE_INT_AS_REAL, NULL);
+	const char *version = json_string_value(json_object_get(root, "version"));
+	bool ok = memchr(text, 0, len) == NULL && json_is_array(json_object_get(root, "routes")) &&
+		  json_is_array(json_object_get(root, "services")) && version != NULL &&
+		  *version == 'r' && g_ascii_isdigit(version[1]) &&
+		  strspn(version + 1, "0123456789") == strlen(version + 1);
+
+	json_decref(root);
+	return ok;
+}
+
+/*
+ * Guards against a reader of slices that accepts other texts than the JSON library: documents with
+ * bytes replaced, inserted and cut off.
+ */
+static void test_slices_accept_the_same(void)
+{
+	static const char bytes[] = "{}[],:\"\\ \n\t0-1.er/\0\x80";
+	unsigned i, k, accepted = 0, refused = 0;
+	struct cs_document *doc;
+	struct cs_msg msg;
+	struct cs_rng rng;
+	GString *text;
+	size_t at;
+
+	cs_rng_seed(&rng, 28);
+	for (i = 0; i < 20000; i++) {
+		text = g_string_new(base_document);
+		for (k = cs_rng_below(&rng, 3); k > 0; k--) {
+			at = cs_rng_below(&rng, (uint32_t)text->len);
+			if (cs_rng_below(&rng, 2) > 0)
+				g_string_insert_c(text, (gssize)at,
+						  bytes[cs_rng_below(&rng, sizeof(bytes) - 1)]);
+			else
+				text->str[at] = bytes[cs_rng_below(&rng, sizeof(bytes) - 1)];
+		}
+		if (cs_rng_below(&rng, 10) == 0)
+			g_string_truncate(text, cs_rng_below(&rng, (uint32_t)text->len));
+		doc = platform_document_parse(text->str, text->len, &msg);
+		g_assert_cmpint(doc != NULL, ==, is_acceptable(text->str, text->len));
+		if (doc != NULL)
+			accepted++;
+		else
+			refused++;
+		cs_document_destroy(doc);
+		g_string_free(text, TRUE);
+	}
+	g_test_message("%u accepted, %u refused", accepted, refused);
+	g_assert_cmpuint(accepted, >, 1000);
+	g_assert_cmpuint(refused, >, 1000);
+}
+
+/*
+ * Guards against a long document that blocks the event loop: one of 4,000 routes must be read in
+ * slices of about 16 KB.
+ */
+static void test_long_document_in_slices(void)
+{
+	GString *text =
+		g_string_new("{\"version\":\"r7\",\"services\":[{\"name\":\"s\"}],\"routes\":[");
+	struct platform_document_reader *r;
+	struct cs_document *doc = NULL;
+	unsigned i, slices = 1;
+	struct cs_msg msg;
+	size_t len;
+
+	for (i = 0; i < 4000; i++)
+		g_string_append_printf(
+			text,
+			"%s{\"name\":\"r-%u\",\"host\":\"h.example\",\"prefix\":\"/%u/\","
+			"\"kind\":\"safe\",\"service\":\"s\",\"max-attempts\":2,"
+			"\"timeout-ms\":8000,\"sticky-sessions\":true,"
+			"\"home-regions\":[\"north\",\"south\"]}",
+			i > 0 ? "," : "", i, i);
+	g_string_append(text, "]}");
+	len = text->len;
+	r = platform_document_reader_create(g_string_free(text, FALSE), len);
+	while (platform_document_reader_next(r, &doc, &msg) == PLATFORM_READING_MORE)
+		slices++;
+	platform_document_reader_destroy(r);
+	g_assert_nonnull(doc);
+	g_assert_cmpuint(doc->n_routes, ==, 4000);
+	g_assert_cmpuint(slices, >=, len / (2 * 16384));
+	cs_document_destroy(doc);
+}
+
 static const char *const base_server =
 	"{\"service\":\"s\",\"address\":\"127.0.0.1:80\",\"zone\":\"z\",\"version\":\"v\","
 	"\"slots\":4,\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":9,\"born\":1}";
@@ -401,6 +491,9 @@
 	g_test_add_func("/platform-odd/document/one-odd-part", test_one_odd_part);
 	g_test_add_func("/platform-odd/document/problems-are-named", test_problems_are_named);
 	g_test_add_func("/platform-odd/document/refused", test_refused);
+	g_test_add_func("/platform-odd/document/slices-accept-the-same",
+			test_slices_accept_the_same);
+	g_test_add_func("/platform-odd/document/long-in-slices", test_long_document_in_slices);
 	g_test_add_func("/platform-odd/entries/mutated", test_mutated_entries);
 	g_test_add_func("/platform-odd/entries/reported", test_reported_entries);
 	return g_test_run();
