node: check a server again directly before a request is sent to it

Nothing was asked between the choice and the first byte, and in one iteration of the loop requests were handled before what the store and other instances had sent.

- cs_steer_may_send is asked when the connection stands and nothing was sent, also when libcurl repeats a request: false if the server drains, leaves, is gone, evacuated, in back-off, within its Retry-After, or became cold or limited since it was chosen.
The attempt is withdrawn (outcome withheld, counted in cassia_node_withheld_total) and the request decided on again.
It costs neither the server nor the attempts.
- Sockets of the store and of other instances have the highest priority of the loop, so that after a long iteration the news are known first.

--- a/lib/http/curl.c
+++ b/lib/http/curl.c
@@ -25,6 +25,7 @@
 	CURLM *multi;
 	struct cs_timer timeout;
 	ev_prepare prepare;
+	int priority; /* of the sockets */
 	bool timeout_due; /* libcurl requested a timeout of 0 ms */
 	LIST_HEAD(, sock) socks;
 	LIST_HEAD(, transfer) transfers;
@@ -84,6 +85,11 @@
 	free(c);
 }
 
+void cs_curl_set_priority(struct cs_curl *c, int priority)
+{
+	c->priority = priority;
+}
+
 CURLM *cs_curl_multi(struct cs_curl *c)
 {
 	return c->multi;
@@ -234,6 +240,7 @@
 		s = cs_xcalloc(1, sizeof(*s));
 		s->owner = c;
 		ev_io_init(&s->io, on_io, fd, events);
+		ev_set_priority(&s->io, c->priority);
 		s->io.data = s;
 		LIST_INSERT_HEAD(&c->socks, s, entry);
 		curl_multi_assign(c->multi, fd, s);
--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -46,6 +46,7 @@
 	bool event_queued; /* in the list of events */
 	bool stale; /* the kept connection that libcurl chose was unusable */
 	bool resent; /* sent again after a kept connection failed */
+	bool withheld; /* opts.may_send was false */
 	bool resend_aborted; /* libcurl tried to send the request again, which is not allowed */
 	uint64_t sent_us; /* time of the last send; 0: unsent */
 	uint64_t key; /* sockets_key of its connection; set when the request is sent */
@@ -334,6 +335,11 @@
 	return t->sent_us;
 }
 
+bool cs_transfer_is_withheld(const struct cs_transfer *t)
+{
+	return t->withheld;
+}
+
 bool cs_transfer_has_head(const struct cs_transfer *t)
 {
 	return t->has_head;
@@ -458,6 +464,10 @@
 		t->resend_aborted = true;
 		return CURL_PREREQFUNC_ABORT;
 	}
+	if (t->opts.may_send != NULL && !t->opts.may_send(t->arg)) {
+		t->withheld = true;
+		return CURL_PREREQFUNC_ABORT;
+	}
 	t->resent = t->state != CS_TRANSFER_UNSENT;
 	t->connection_is_new = t->new_fd >= 0;
 	if (t->new_fd >= 0) {
@@ -595,7 +605,8 @@
 	struct cs_transfer *t = arg;
 
 	t->running = false;
-	if (t->stale && t->state == CS_TRANSFER_UNSENT && code == CURLE_ABORTED_BY_CALLBACK) {
+	if (t->stale && !t->withheld && t->state == CS_TRANSFER_UNSENT &&
+	    code == CURLE_ABORTED_BY_CALLBACK) {
 		transfer_send(t);
 		return;
 	}
@@ -605,10 +616,14 @@
 	} else {
 		if (t->state != CS_TRANSFER_UNSENT)
 			t->state = CS_TRANSFER_FAILED;
-		if (*t->error == '\0')
-			t->error = t->resend_aborted
-					   ? "kept connection failed; request not sent again"
-					   : curl_easy_strerror(code);
+		if (*t->error != '\0')
+			;
+		else if (t->resend_aborted)
+			t->error = "kept connection failed; request not sent again";
+		else if (t->withheld)
+			t->error = "the server became unusable before the request was sent";
+		else
+			t->error = curl_easy_strerror(code);
 	}
 	queue_event(t);
 }
--- a/lib/proxy/transfer.h
+++ b/lib/proxy/transfer.h
@@ -32,6 +32,9 @@
 /* Limits the connections of the bulk pool or of the other pool to one server; 0: no limit. */
 void cs_transfer_pool_set_limit(struct cs_transfer_pool *p, bool bulk, long connections);
 
+/* Called directly before the request is sent; false if it must not be sent any more. */
+typedef bool (*cs_transfer_check_cb)(void *arg);
+
 struct cs_transfer_opts {
 	const char *addr;
 	uint16_t port;
@@ -48,6 +51,7 @@
 	bool own_connection; /* sent on a new connection that is not reused */
 	bool bulk; /* sent through the bulk pool, whose connections are not reused */
 	size_t buffer_max; /* response data in bytes that is buffered before the transfer pauses */
+	cs_transfer_check_cb may_send; /* NULL: the request is sent without a check */
 };
 
 /* Headers or body data were received, or the transfer ended. */
@@ -67,6 +71,8 @@
 enum cs_transfer_state cs_transfer_state(const struct cs_transfer *t);
 /* When the request was sent last; 0 if it was not. */
 uint64_t cs_transfer_sent_us(const struct cs_transfer *t);
+/* True if the transfer ended because its check did not allow to send the request. */
+bool cs_transfer_is_withheld(const struct cs_transfer *t);
 /* True once the response headers were received. */
 bool cs_transfer_has_head(const struct cs_transfer *t);
 /*
--- a/lib/steer/outcome.c
+++ b/lib/steer/outcome.c
@@ -14,7 +14,7 @@
 #define BACKOFF_UNSENT_US (300 * CS_US_PER_MS)
 
 static const char *const outcome_names[] = {"ok",   "error",	   "cancelled", "timeout",
-					    "shed", "misdirected", "unsent"};
+					    "shed", "misdirected", "unsent",	"withheld"};
 
 const char *cs_steer_outcome_name(enum cs_steer_outcome o)
 {
@@ -87,6 +87,9 @@
 		 */
 		backend_require_probe(b, now_us);
 		break;
+	case CS_STEER_WITHHELD:
+		req->n_sent--;
+		break;
 	case CS_STEER_UNSENT:
 		req->n_sent--;
 		backoff(b, BACKOFF_UNSENT_US, now_us);
--- a/lib/steer/server-limit.c
+++ b/lib/steer/server-limit.c
@@ -69,7 +69,7 @@
 		TAILQ_INSERT_TAIL(&s->limited, b, limited_entry);
 	if (per_s > 0 && b->limit_per_s <= 0) {
 		b->limit_allowance = 0;
-		b->limit_allowance_us = now_us;
+		b->limit_allowance_us = b->limit_since_us = now_us;
 	}
 	if (per_s <= 0 && b->limit_per_s > 0)
 		b->limit_ended_us = now_us;
--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -316,6 +316,8 @@
 {
 	uint64_t until = now_us + cold_ms * CS_US_PER_MS;
 
+	if (!limits_is_cold(b, now_us))
+		b->cold_since_us = now_us;
 	if (until > b->cold_until_us)
 		b->cold_until_us = until;
 }
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -74,12 +74,13 @@
 	uint64_t limit_us;
 	uint64_t limit_ended_us;
 	struct limit_feed limit_feeds[LIMIT_FEEDS];
+	uint64_t limit_since_us; /* when the limit became known */
 	double limit_part_per_s; /* part of the limit that this instance may send */
 	uint64_t limit_part_us; /* when the part was computed; 0: it must be */
 	double limit_allowance; /* requests that may be sent now */
 	uint64_t limit_allowance_us;
 	/* Rate limit while the server is cold. */
-	uint64_t cold_until_us;
+	uint64_t cold_since_us, cold_until_us;
 	uint64_t cold_interval_us; /* mean time between requests of this instance; 0: not yet known */
 	uint64_t cold_next_us; /* when the next request is due at that rate */
 	uint32_t cold_owner; /* name_hash of the instance that may send to it */
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -178,9 +178,16 @@
 	CS_STEER_TIMEOUT, /* no response by the deadline */
 	CS_STEER_SHED, /* rejected by the server without execution */
 	CS_STEER_MISDIRECTED, /* the address now belongs to another server */
-	CS_STEER_UNSENT /* no connection could be made */
+	CS_STEER_UNSENT, /* no connection could be made */
+	CS_STEER_WITHHELD /* not sent, as cs_steer_may_send was false */
 };
 const char *cs_steer_outcome_name(enum cs_steer_outcome o);
+/*
+ * True if a request may still be sent to the server that was chosen for it at chosen_us. Checked
+ * directly before the first byte: the server may have become unusable or limited since then.
+ */
+bool cs_steer_may_send(const struct cs_steer *s, const struct cs_backend *b, uint64_t chosen_us,
+		       uint64_t now_us);
 /* Ends one attempt, releases its slot and updates the server's statistics. */
 void cs_steer_attempt_ended(struct cs_steer *s, struct cs_steer_request *req, struct cs_backend *b,
 			    enum cs_steer_outcome outcome, uint64_t took_us, uint64_t now_us);
--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -7,6 +7,7 @@
 
 static void on_progress(struct cs_transfer *t, void *arg);
 static void on_body_consumed(struct cs_transfer *t, void *arg);
+static bool may_send(void *arg);
 
 /* Headers that differ between attempts: the remaining time and the expected server. */
 static void set_headers(struct attempt *a, uint64_t now)
@@ -43,6 +44,7 @@
 		.bulk = req->repeat == CS_REPEAT_UPLOAD,
 		.buffer_max = req->repeat == CS_REPEAT_DOWNLOAD ? DOWNLOAD_BUFFER_MAX
 								: RESPONSE_BUFFER_MAX,
+		.may_send = may_send,
 	};
 
 	a->req = req;
@@ -76,6 +78,9 @@
 	case CS_STEER_UNSENT:
 		(*st->unsent)++;
 		break;
+	case CS_STEER_WITHHELD:
+		(*st->withheld)++;
+		break;
 	case CS_STEER_ERROR:
 		(*st->broken)++;
 		break;
@@ -191,7 +196,7 @@
 	switch (cs_transfer_state(t)) {
 	case CS_TRANSFER_UNSENT:
 		/* An unsent transfer calls back only when it has ended. */
-		return ATTEMPT_UNSENT;
+		return cs_transfer_is_withheld(t) ? ATTEMPT_WITHHELD : ATTEMPT_UNSENT;
 	case CS_TRANSFER_SENT:
 		return ATTEMPT_PENDING;
 	case CS_TRANSFER_HEAD:
@@ -222,3 +227,10 @@
 
 	cs_call_resume(a->req->call);
 }
+
+static bool may_send(void *arg)
+{
+	struct attempt *a = arg;
+
+	return cs_steer_may_send(a->req->node->steer, a->backend, a->started_us, cs_mono_us());
+}
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -113,6 +113,7 @@
 	}
 	msgpack_sbuffer_init(&g->buf);
 	ev_io_init(&g->io, on_readable, g->fd, EV_READ);
+	ev_set_priority(&g->io, NEWS_PRIORITY);
 	g->io.data = g;
 	ev_io_start(n->loop, &g->io);
 	cs_timer_init(&g->timer, on_timer, g);
--- a/src/node/main.c
+++ b/src/node/main.c
@@ -111,6 +111,7 @@
 	steer_start(n);
 	n->connections = cs_transfer_pool_create(n->loop, n->timers, n->settings.addr);
 	n->control_curl = cs_curl_create(n->loop, n->timers);
+	cs_curl_set_priority(n->control_curl, NEWS_PRIORITY);
 	n->store = platform_store_create(n->control_curl, &n->settings.store);
 	n->document_load = document_load_create(n);
 	n->store_sync = store_sync_create(n);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,6 +29,12 @@
 #define DOWNLOAD_BUFFER_MAX ((size_t)64 * 1024)
 #define REQUEST_ID_SIZE 65
 
+/*
+ * Priority of the sockets on which the store and other instances are heard. After a long iteration
+ * of the loop, what they say is known before any request is chosen a server for, or sent.
+ */
+#define NEWS_PRIORITY EV_MAXPRI
+
 struct node;
 struct request;
 
@@ -82,7 +88,7 @@
 	uint64_t *no_route, *not_ready, *malformed, *unreadable_route, *refused_entries;
 	uint64_t *cut_responses;
 	uint64_t *sends, *leaving_sends, *limited_sends, *repeats, *hedges, *sheds, *misdirected,
-		*unsent, *broken, *cancelled;
+		*unsent, *withheld, *broken, *cancelled;
 	uint64_t *probes, *store_failures, *reports_in, *reports_out;
 	struct cs_hist *latency, *wait, *send_delay, *turn;
 	int64_t *ready, *members, *servers, *limited_servers, *limit_part, *document,
@@ -165,6 +171,7 @@
 	ATTEMPT_NOT_EXECUTED, /* the server states that it did not run the request */
 	ATTEMPT_MISDIRECTED, /* another server uses the address */
 	ATTEMPT_UNSENT,
+	ATTEMPT_WITHHELD, /* not sent: the server became unusable since it was chosen */
 	ATTEMPT_UNUSABLE /* may have run, but there is no response to forward */
 };
 enum attempt_result node_attempt_classify(struct attempt *a, const char **why);
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -417,6 +417,9 @@
 	case ATTEMPT_UNSENT:
 		request_attempt_failed(req, a, CS_STEER_UNSENT, why);
 		break;
+	case ATTEMPT_WITHHELD:
+		request_attempt_failed(req, a, CS_STEER_WITHHELD, why);
+		break;
 	case ATTEMPT_UNUSABLE:
 		request_attempt_failed(req, a, CS_STEER_ERROR, why);
 		break;
--- a/src/node/stats.c
+++ b/src/node/stats.c
@@ -47,6 +47,8 @@
 					    "Sends that reached another server");
 	s->unsent =
 		cs_metrics_counter(m, "cassia_node_unsent_total", "", "Sends without a connection");
+	s->withheld = cs_metrics_counter(m, "cassia_node_withheld_total", "",
+					 "Sends withdrawn because their server became unusable");
 	s->broken = cs_metrics_counter(m, "cassia_node_broken_total", "",
 				       "Sends that may have run without a usable answer, or 5xx");
 	s->cancelled = cs_metrics_counter(m, "cassia_node_cancelled_total", "",
--- a/tests/run/check.d/node-send-check.sh
+++ b/tests/run/check.d/node-send-check.sh
@@ -12,8 +12,10 @@
 arrivals() { curl -sSf "$control/state?server=i-1" | jq .arrivals; }
 put_entry() { curl -sSf "$control/put?key=servers/i-1" -d "$(jq "$1" <<<"$entry")" >/dev/null; }
 serves() { call 1 /safe/x | grep -q 'server=i-1 '; }
+# A request that may run once is sent on a new connection if the last one was idle for 100 ms, so that it stays unsent
+# for an iteration of the loop at least.
 request() {
-	printf 'GET /safe/x HTTP/1.1\r\nHost: h.example\r\nCassiascale-Attempt-Id: c-%s\r\nCassiascale-Deadline-Milliseconds: 3000\r\n\r\n' "$1" >&3
+	printf 'POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nCassiascale-Attempt-Id: c-%s\r\nCassiascale-Deadline-Milliseconds: 3000\r\nContent-Length: 1\r\n\r\nx' "$1" >&3
 }
 # The state in which only i-1 may get requests.
 restore() {
--- a/tests/unit/test-steer-notice.c
+++ b/tests/unit/test-steer-notice.c
@@ -440,9 +440,62 @@
 	cs_steer_destroy(s);
 }
 
+/*
+ * Guards against requests that are sent to a server that was chosen before it left, asked for a
+ * pause, became cold or named a limit, while they were still unsent.
+ */
+static void test_unsent_request_is_withheld(void)
+{
+	enum { DRAINS, GONE, EVACUATED, LEAVES, PAUSES, COLD, LIMITED, CASES };
+	struct cs_server_entry e = {
+		.port = 80, .slots = 4, .started_ms = 1000, .addr = "127.0.0.1", .draining = true};
+	struct cs_steer_decision d;
+	uint64_t now = MS(10000);
+	struct cs_backend *b;
+	struct cs_steer *s;
+	unsigned i;
+
+	for (i = 0; i < CASES; i++) {
+		s = two_servers(now);
+		fixture_init_request(s, &reqs[0], 1, now);
+		cs_steer_decide(s, &reqs[0], now, &d);
+		g_assert_cmpint(d.verdict, ==, CS_STEER_SEND);
+		b = d.u.send.backend;
+		g_assert_true(cs_steer_may_send(s, b, now, now + MS(5)));
+		cs_copy(e.id, sizeof(e.id), cs_backend_id(b));
+		cs_copy(e.zone, sizeof(e.zone), cs_backend_zone(b));
+		cs_copy(e.service, sizeof(e.service), "s");
+		if (i == DRAINS)
+			cs_steer_update_server(s, &e, now + MS(5));
+		else if (i == GONE)
+			cs_steer_remove_server(s, cs_backend_id(b), 0, now + MS(5));
+		else if (i == EVACUATED)
+			cs_steer_set_evacuated(s, cs_backend_zone(b), true, now + MS(5));
+		else if (i == LEAVES)
+			cs_steer_server_leaving(b, now, now + MS(5));
+		else if (i == PAUSES)
+			cs_steer_server_retry_after(b, 2000, now, now + MS(5));
+		else if (i == COLD)
+			cs_steer_mark_cold(s, b, 3000, now + MS(5));
+		else
+			cs_steer_server_limit(s, b, 5, now, now + MS(5));
+		g_assert_false(cs_steer_may_send(s, b, now, now + MS(6)));
+		cs_steer_attempt_ended(s, &reqs[0], b, CS_STEER_WITHHELD, MS(6), now + MS(6));
+		g_assert_cmpuint(reqs[0].n_sent, ==, 0);
+		cs_steer_decide(s, &reqs[0], now + MS(6), &d);
+		g_assert_cmpint(d.verdict, ==, CS_STEER_SEND);
+		g_assert_true(d.u.send.backend != b);
+		cs_steer_attempt_ended(s, &reqs[0], d.u.send.backend, CS_STEER_OK, MS(100),
+				       now + MS(106));
+		cs_steer_destroy(s);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/steer/leaving/unsent-request-is-withheld",
+			test_unsent_request_is_withheld);
 	g_test_add_func("/steer/leaving/gets-no-attempt", test_leaving_gets_no_attempt);
 	g_test_add_func("/steer/leaving/entry-does-not-undo", test_entry_does_not_undo_leaving);
 	g_test_add_func("/steer/leaving/new-process-is-used", test_new_process_is_used);
