node: followers read a large document themselves and go on with relayed changes

In a large fleet only the roots of a zone watch the store and relay its changes in datagrams.

The relayed changes now name the document without its value, and a follower reads it by its key beside them. Changes are also accepted while a call of the follower's own is in progress; what both bring is applied once.

--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -71,8 +71,8 @@
 struct cs_curl *cs_curl_create(struct ev_loop *loop, struct cs_timers *ts);
 void cs_curl_destroy(struct cs_curl *c);
 /*
- * Sets the libev priority of the sockets of later transfers. In an iteration of the loop, those with
- * a higher one are handled first.
+ * Sets the libev priority of the sockets of later transfers. In an iteration of the loop, those
+ * with a higher one are handled first.
  */
 void cs_curl_set_priority(struct cs_curl *c, int priority);
 CURLM *cs_curl_multi(struct cs_curl *c);
--- a/src/node/document-load.c
+++ b/src/node/document-load.c
@@ -7,6 +7,11 @@
 
 #include "src/node/node.h"
 
+/* Timeout until the response begins; many instances read a new document at the same time. */
+#define FETCH_TIMEOUT_MS 2000
+/* Pause before another call, with a jitter of 50 % either way. */
+#define FETCH_RETRY_US (300 * CS_US_PER_MS)
+
 /* The text of a document that waits to be read. */
 struct document_text {
 	char *text; /* NULL: none */
@@ -22,9 +27,14 @@
 	struct document_text next; /* the latest one that arrived meanwhile */
 	struct cs_timer slice_timer;
 	uint64_t handled_revision; /* of the last document that was read or refused */
+	uint64_t wanted_revision; /* the store has a document of this revision or a later one */
+	struct platform_call *fetch;
+	struct cs_timer fetch_timer;
 };
 
 static void on_slice(struct cs_timer *t, void *arg);
+static void on_fetch_timer(struct cs_timer *t, void *arg);
+static void on_fetched(const struct platform_response *resp, void *arg);
 
 struct document_load *document_load_create(struct node *n)
 {
@@ -32,6 +42,7 @@
 
 	dl->node = n;
 	cs_timer_init(&dl->slice_timer, on_slice, dl);
+	cs_timer_init(&dl->fetch_timer, on_fetch_timer, dl);
 	return dl;
 }
 
@@ -40,6 +51,8 @@
 	if (dl == NULL)
 		return;
 	cs_timer_stop(&dl->slice_timer);
+	cs_timer_stop(&dl->fetch_timer);
+	platform_cancel(dl->fetch);
 	platform_document_reader_destroy(dl->reader);
 	free(dl->next.text);
 	free(dl);
@@ -56,16 +69,18 @@
 	cs_timer_start(dl->node->timers, &dl->slice_timer, 0);
 }
 
-void document_load_start(struct document_load *dl, const struct platform_item *it)
+/* Revision of the latest document that has arrived. */
+static uint64_t latest_revision(const struct document_load *dl)
 {
-	uint64_t latest = dl->handled_revision;
-
-	if (dl->reader != NULL)
-		latest = dl->reading.revision;
 	if (dl->next.text != NULL)
-		latest = dl->next.revision;
+		return dl->next.revision;
+	return dl->reader != NULL ? dl->reading.revision : dl->handled_revision;
+}
+
+void document_load_start(struct document_load *dl, const struct platform_item *it)
+{
 	/* Full reads return a document again that is known. */
-	if (it->revision <= latest)
+	if (it->revision <= latest_revision(dl))
 		return;
 	free(dl->next.text);
 	dl->next = (struct document_text){.text = cs_xcalloc(1, it->len + 1),
@@ -129,3 +144,35 @@
 	dl->handled_revision = dl->reading.revision;
 	read_next(dl);
 }
+
+void document_load_fetch(struct document_load *dl, uint64_t revision)
+{
+	if (revision > dl->wanted_revision)
+		dl->wanted_revision = revision;
+	if (dl->fetch == NULL && !cs_timer_active(&dl->fetch_timer))
+		on_fetch_timer(&dl->fetch_timer, dl);
+}
+
+static void on_fetch_timer(struct cs_timer *t, void *arg)
+{
+	struct document_load *dl = arg;
+
+	if (dl->fetch == NULL && dl->wanted_revision > latest_revision(dl))
+		dl->fetch = platform_get(dl->node->store, PLATFORM_DOCUMENT_KEY, FETCH_TIMEOUT_MS,
+					 on_fetched, dl);
+}
+
+static void on_fetched(const struct platform_response *resp, void *arg)
+{
+	struct document_load *dl = arg;
+	uint64_t jitter = cs_random_u64() % FETCH_RETRY_US;
+
+	dl->fetch = NULL;
+	if (resp->status == PLATFORM_OK && resp->items[0].value != NULL)
+		document_load_start(dl, &resp->items[0]);
+	else if (resp->status == PLATFORM_ABSENT)
+		dl->wanted_revision = 0;
+	if (dl->wanted_revision <= latest_revision(dl))
+		return;
+	cs_timer_start(dl->node->timers, &dl->fetch_timer, FETCH_RETRY_US / 2 + jitter);
+}
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -444,11 +444,25 @@
 	c->n = 0;
 }
 
+/*
+ * True for a document that is too large for a datagram. Its receivers read it themselves, and do
+ * not miss the changes that follow it meanwhile.
+ */
+static bool is_omitted(const struct platform_item *it)
+{
+	const char *name;
+
+	return platform_key_parse(it->key, &name) == PLATFORM_KEY_DOCUMENT &&
+	       strlen(it->key) + it->len + CHANGE_OVERHEAD_BYTES > CHANGES_PAYLOAD_MAX;
+}
+
 void gossip_send_changes(struct node_gossip *g, const struct platform_item *items, unsigned n,
 			 uint64_t from, uint64_t to, unsigned removal_grace_ms)
 {
 	struct wire_changes *c = &g->changes;
+	struct wire_change *ch;
 	size_t bytes = 0, more;
+	bool omitted;
 	unsigned i;
 
 	*c = (struct wire_changes){.from = from, .to = from, .removal_grace_ms = removal_grace_ms};
@@ -459,7 +473,10 @@
 	c->root_index = cs_steer_rank(g->node->steer) % CS_ROOTS_PER_ZONE;
 	cs_copy(c->name, sizeof(c->name), g->node->settings.instance);
 	for (i = 0; i < n; i++) {
-		more = strlen(items[i].key) + items[i].len + CHANGE_OVERHEAD_BYTES;
+		omitted = is_omitted(&items[i]);
+		more = strlen(items[i].key) + CHANGE_OVERHEAD_BYTES;
+		if (!omitted)
+			more += items[i].len;
 		if (bytes + more > CHANGES_PAYLOAD_MAX || c->n == WIRE_CHANGES_MAX) {
 			flush_changes(g, c);
 			bytes = 0;
@@ -469,11 +486,12 @@
 			c->from = c->to = items[i].revision;
 			continue;
 		}
-		cs_copy(c->change[c->n].key, sizeof(c->change[c->n].key), items[i].key);
-		c->change[c->n].revision = items[i].revision;
-		c->change[c->n].value = items[i].value;
-		c->change[c->n].len = items[i].len;
-		c->n++;
+		ch = &c->change[c->n++];
+		cs_copy(ch->key, sizeof(ch->key), items[i].key);
+		ch->revision = items[i].revision;
+		ch->omitted = omitted;
+		ch->value = omitted ? NULL : items[i].value;
+		ch->len = omitted ? 0 : items[i].len;
 		c->to = items[i].revision;
 		bytes += more;
 	}
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -209,6 +209,8 @@
 void document_load_destroy(struct document_load *dl);
 /* Begins to read a document unless this revision is known; the item need not outlive the call. */
 void document_load_start(struct document_load *dl, const struct platform_item *it);
+/* Reads the document from the store, where it has this revision or a later one. */
+void document_load_fetch(struct document_load *dl, uint64_t revision);
 
 /* registration.c: this instance's own key in the store. */
 struct registration *registration_create(struct node *n);
--- a/src/node/store-sync.c
+++ b/src/node/store-sync.c
@@ -5,8 +5,6 @@
 #include "src/node/node.h"
 #include "src/node/wire.h"
 
-/* Prefix of all keys: a single watch covers the document, servers, evacuations and instances. */
-#define ALL_KEYS ""
 /* Responses of the store that take longer to arrive are logged. */
 #define SLOW_RESPONSE_US (200 * CS_US_PER_MS)
 
@@ -120,8 +118,8 @@
 			memset(ss->evacuated_seen, 0, sizeof(ss->evacuated_seen));
 			cs_steer_full_read_begin(n->steer);
 		}
-		ss->call = platform_range(n->store, ALL_KEYS, ss->last_key, step.timeout_ms,
-					  on_page, ss);
+		ss->call = platform_range(n->store, PLATFORM_ALL_KEYS, ss->last_key,
+					  step.timeout_ms, on_page, ss);
 		break;
 	case CS_FEED_WATCH:
 		if (ss->state.following)
@@ -129,7 +127,7 @@
 				 "revision=%llu behind_ms=%llu", (unsigned long long)step.after,
 				 (unsigned long long)(now - ss->state.behind_since_us) /
 					 CS_US_PER_MS);
-		ss->call = platform_watch(n->store, ALL_KEYS, step.after, step.wait_ms,
+		ss->call = platform_watch(n->store, PLATFORM_ALL_KEYS, step.after, step.wait_ms,
 					  step.timeout_ms, on_watch, ss);
 		break;
 	}
@@ -320,12 +318,16 @@
 	struct platform_item it;
 	unsigned i;
 
-	if (ss->call != NULL || !cs_feed_apply_relayed(&ss->state, c->from, c->to, now))
+	if (!cs_feed_apply_relayed(&ss->state, c->from, c->to, now))
 		return;
 	ss->relayed_grace_us = c->removal_grace_ms * CS_US_PER_MS;
 	for (i = 0; i < c->n; i++) {
 		if (c->change[i].revision <= known)
 			continue;
+		if (c->change[i].omitted) {
+			document_load_fetch(ss->node->document_load, c->change[i].revision);
+			continue;
+		}
 		it = (struct platform_item){.key = c->change[i].key,
 					    .value = (char *)(uintptr_t)c->change[i].value,
 					    .len = c->change[i].len,
@@ -349,7 +351,9 @@
 		from = ss->state.revision;
 		cs_feed_watch_completed(&ss->state, resp->revision, resp->n_items, now);
 		for (i = 0; i < resp->n_items; i++)
-			apply_item(ss, &resp->items[i], now);
+			/* Relayed changes may have arrived during the call. */
+			if (resp->items[i].revision > from)
+				apply_item(ss, &resp->items[i], now);
 		if (resp->n_items > 0 && cs_steer_is_large_fleet(n->steer) && !ss->state.following)
 			gossip_send_changes(n->gossip, resp->items, resp->n_items, from,
 					    ss->state.revision,
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -157,6 +157,10 @@
 		ch = &c->change[i];
 		pack_text(&pk, ch->key);
 		msgpack_pack_uint64(&pk, ch->revision);
+		if (ch->omitted) {
+			msgpack_pack_true(&pk);
+			continue;
+		}
 		if (ch->value == NULL) {
 			msgpack_pack_nil(&pk);
 			continue;
@@ -344,7 +348,8 @@
 	ch->revision = v[1].via.u64;
 	ch->value = NULL;
 	ch->len = 0;
-	if (v[2].type == MSGPACK_OBJECT_NIL)
+	ch->omitted = v[2].type == MSGPACK_OBJECT_BOOLEAN && v[2].via.boolean;
+	if (v[2].type == MSGPACK_OBJECT_NIL || ch->omitted)
 		return true;
 	if (v[2].type != MSGPACK_OBJECT_BIN)
 		return false;
--- a/src/node/wire.h
+++ b/src/node/wire.h
@@ -22,8 +22,10 @@
 struct wire_change {
 	char key[256];
 	uint64_t revision;
-	const char *value; /* not NUL-terminated; NULL: the key was removed */
+	const char *value; /* not NUL-terminated; NULL: the key was removed, or see omitted */
 	size_t len;
+	/* The value is too large for a datagram; receivers read it from the store. */
+	bool omitted;
 };
 struct wire_changes {
 	char name[CS_NAME_MAX]; /* sender */
--- a/tests/standins/platform/store.c
+++ b/tests/standins/platform/store.c
@@ -299,6 +299,20 @@
 			     (json_int_t)st->revision));
 }
 
+static void handle_key(struct store *st, struct cs_http_req *req)
+{
+	struct item *it = item_find(st, query_arg(req, "key", ""));
+	json_t *doc;
+
+	if (it == NULL) {
+		cs_http_reply(req, 404, NULL, "{}", 2);
+		return;
+	}
+	doc = item_json(it);
+	json_object_set_new(doc, "at-revision", json_integer((json_int_t)st->revision));
+	reply_json(req, 200, doc);
+}
+
 static void handle_watch(struct store *st, struct cs_http_req *req)
 {
 	uint64_t after = strtoull(query_arg(req, "after", "0"), NULL, 10);
@@ -473,6 +487,8 @@
 		cs_http_reply(req, 503, NULL, "{}", 2);
 	else if (strcmp(path, "/v1/kv-range") == 0)
 		handle_range(st, req);
+	else if (strcmp(path, "/v1/kv-key") == 0)
+		handle_key(st, req);
 	else if (strcmp(path, "/v1/kv-watch") == 0)
 		handle_watch(st, req);
 	else if (strcmp(path, "/v1/kv-txn") == 0)
--- a/tests/unit/test-node-wire.c
+++ b/tests/unit/test-node-wire.c
@@ -99,7 +99,10 @@
 	changes.to = 12;
 	changes.removal_grace_ms = 1500;
 	changes.root_index = 1;
-	changes.n = 2;
+	changes.n = 3;
+	cs_copy(changes.change[2].key, sizeof(changes.change[2].key), "op/config");
+	changes.change[2].revision = 12;
+	changes.change[2].omitted = true;
 	cs_copy(changes.change[0].key, sizeof(changes.change[0].key), "servers/x");
 	changes.change[0].revision = 11;
 	changes.change[0].value = "{\"a\":1}";
@@ -110,7 +113,10 @@
 	wire_pack_changes(&buf, &changes);
 	g_assert_true(wire_unpack(buf.data, buf.size, &msg));
 	g_assert_cmpint(msg.kind, ==, WIRE_CHANGES);
-	g_assert_cmpuint(msg.u.changes.n, ==, 2);
+	g_assert_cmpuint(msg.u.changes.n, ==, 3);
+	g_assert_false(msg.u.changes.change[1].omitted);
+	g_assert_true(msg.u.changes.change[2].omitted);
+	g_assert_null(msg.u.changes.change[2].value);
 	g_assert_cmpuint(msg.u.changes.removal_grace_ms, ==, 1500);
 	g_assert_cmpuint(msg.u.changes.root_index, ==, 1);
 	g_assert_cmpmem(msg.u.changes.change[0].value, msg.u.changes.change[0].len, "{\"a\":1}", 7);
