node: watch servers' entries beside a large response of the store

One watch covers all keys. While a response with a document of 1 MB was received, over a second on a link of 10 Mbit/s, no change of a server arrived at the instance or, if it is a root, at its zone; the root also counted as out of contact, so that all followers called the store.

When 64 KB of a response have arrived, the entries of servers are watched by calls of their own, about seven a second, until it is complete. They are applied and relayed ahead (cs_feed_apply_entries, WIRE_ENTRIES); what the other response brings later is then known. They also count as contact with the store.

--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -18,6 +18,8 @@
 	char *body;
 	size_t len;
 	size_t max_body;
+	void (*large_cb)(void *arg);
+	size_t large;
 	uint64_t index;
 	uint64_t response_us; /* when the response began; 0: it has not */
 	struct cs_timer first_byte_timer; /* active until the response begins */
@@ -50,6 +52,8 @@
 	f->easy = e;
 	f->cb = cb;
 	f->arg = arg;
+	f->large_cb = opts->large_cb;
+	f->large = opts->large;
 	f->max_body = opts->max_response ? opts->max_response : RESPONSE_MAX_DEFAULT;
 	curl_easy_setopt(e, CURLOPT_URL, opts->url);
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
@@ -110,6 +114,10 @@
 	memcpy(f->body + f->len, data, len);
 	f->len += len;
 	f->body[f->len] = '\0';
+	if (f->large_cb != NULL && f->len >= f->large) {
+		f->large_cb(f->arg);
+		f->large_cb = NULL;
+	}
 	return len;
 }
 
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -106,6 +106,12 @@
 	unsigned first_byte_timeout_ms; /* until the first byte of the response; 0: only timeout_ms
 					   applies */
 	size_t max_response; /* limit of the response body in bytes; 0: 64 KiB */
+	/*
+	 * Called once when large bytes of the body have arrived; no transfer may be started or
+	 * cancelled in it. NULL: not called.
+	 */
+	void (*large_cb)(void *arg);
+	size_t large;
 };
 /* The handle is valid until the callback is called; cs_fetch_cancel prevents that call. */
 struct cs_fetch *cs_fetch_start(struct cs_curl *c, const struct cs_fetch_opts *opts, cs_fetch_cb cb,
--- a/lib/steer/feed.c
+++ b/lib/steer/feed.c
@@ -207,6 +207,26 @@
 	return true;
 }
 
+void cs_feed_contact(struct cs_feed *f, uint64_t now_us)
+{
+	f->last_response_us = now_us;
+}
+
+uint64_t cs_feed_entries_revision(const struct cs_feed *f)
+{
+	return f->entries_revision > f->revision ? f->entries_revision : f->revision;
+}
+
+bool cs_feed_apply_entries(struct cs_feed *f, uint64_t from, uint64_t to)
+{
+	uint64_t known = cs_feed_entries_revision(f);
+
+	if (f->reading || from > known || to <= known)
+		return false;
+	f->entries_revision = to;
+	return true;
+}
+
 uint64_t cs_feed_grace_us(const struct cs_feed *f, uint64_t now_us)
 {
 	return now_us < f->grace_until_us ? f->grace_until_us - now_us : 0;
@@ -220,11 +240,13 @@
 /* True if the response to the call in progress should have arrived. */
 static bool is_overdue(const struct cs_feed *f, uint64_t now_us)
 {
-	uint64_t slack = 2 * f->response_delay_us;
+	uint64_t slack = 2 * f->response_delay_us, due_us = f->last_call_us + f->call_wait_us;
 
 	if (slack < OVERDUE_MIN_US)
 		slack = OVERDUE_MIN_US;
-	return f->calling && now_us - f->last_call_us > f->call_wait_us + slack;
+	if (due_us < f->last_response_us)
+		due_us = f->last_response_us;
+	return f->calling && now_us > due_us + slack;
 }
 
 bool cs_feed_is_fresh(const struct cs_feed *f, uint64_t now_us)
--- a/lib/steer/feed.h
+++ b/lib/steer/feed.h
@@ -36,6 +36,8 @@
 				   snapshot */
 	bool known; /* at least one full read was completed */
 	uint64_t revision;
+	/* Changes of servers' entries are known up to this revision, if it is higher. */
+	uint64_t entries_revision;
 	uint64_t pause_until_us;
 	unsigned failures; /* number of consecutive failed calls */
 	uint64_t last_response_us;
@@ -73,6 +75,18 @@
  * applied.
  */
 bool cs_feed_apply_relayed(struct cs_feed *f, uint64_t from, uint64_t to, uint64_t now_us);
+/*
+ * A response of the store to another call shows, while a long response is being received, that the
+ * store is reached.
+ */
+void cs_feed_contact(struct cs_feed *f, uint64_t now_us);
+/*
+ * Changes of servers' entries alone, after revision from up to revision to, have arrived ahead of
+ * others. Returns true if they are to be applied.
+ */
+bool cs_feed_apply_entries(struct cs_feed *f, uint64_t from, uint64_t to);
+/* Up to this revision, changes of servers' entries are known. */
+uint64_t cs_feed_entries_revision(const struct cs_feed *f);
 /* How long a server whose entry is found missing now stays usable, in us. */
 uint64_t cs_feed_grace_us(const struct cs_feed *f, uint64_t now_us);
 /* True if the store responded recently to a call of this instance. */
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -35,7 +35,8 @@
 	char zone[CS_NAME_MAX];
 	struct sockaddr_in addr;
 	bool listed;
-	uint64_t forwarded_revision; /* highest store revision forwarded from this peer */
+	/* Highest store revision forwarded from this peer, by wire_changes.entries_only. */
+	uint64_t forwarded_revision[2];
 };
 
 /* Timer of the digests of one scope. */
@@ -371,9 +372,9 @@
 	struct peer *p = find_peer(g, c->name);
 
 	store_sync_apply_relayed(g->node->store_sync, c);
-	if (p == NULL || c->to <= p->forwarded_revision)
+	if (p == NULL || c->to <= p->forwarded_revision[c->entries_only])
 		return;
-	p->forwarded_revision = c->to;
+	p->forwarded_revision[c->entries_only] = c->to;
 	forward_in_zone(g, c->root_index, c->to, false, data, len);
 }
 
@@ -410,6 +411,7 @@
 				data, len);
 		break;
 	case WIRE_CHANGES:
+	case WIRE_ENTRIES:
 		handle_changes(g, &m->u.changes, data, len);
 		break;
 	}
@@ -456,23 +458,27 @@
 	       strlen(it->key) + it->len + CHANGE_OVERHEAD_BYTES > CHANGES_PAYLOAD_MAX;
 }
 
-void gossip_send_changes(struct node_gossip *g, const struct platform_item *items, unsigned n,
-			 uint64_t from, uint64_t to, unsigned removal_grace_ms)
+void gossip_send_changes(struct node_gossip *g, const struct platform_response *resp,
+			 bool entries_only, uint64_t from, unsigned removal_grace_ms)
 {
+	const struct platform_item *items = resp->items;
 	struct wire_changes *c = &g->changes;
 	struct wire_change *ch;
 	size_t bytes = 0, more;
 	bool omitted;
 	unsigned i;
 
-	*c = (struct wire_changes){.from = from, .to = from, .removal_grace_ms = removal_grace_ms};
+	*c = (struct wire_changes){.entries_only = entries_only,
+				   .from = from,
+				   .to = from,
+				   .removal_grace_ms = removal_grace_ms};
 	/*
 	 * The rank may be higher than that of a root, since other instances also watch while the
 	 * store refuses the calls of both roots.
 	 */
 	c->root_index = cs_steer_rank(g->node->steer) % CS_ROOTS_PER_ZONE;
 	cs_copy(c->name, sizeof(c->name), g->node->settings.instance);
-	for (i = 0; i < n; i++) {
+	for (i = 0; i < resp->n_items; i++) {
 		omitted = is_omitted(&items[i]);
 		more = strlen(items[i].key) + CHANGE_OVERHEAD_BYTES;
 		if (!omitted)
@@ -496,6 +502,6 @@
 		bytes += more;
 	}
 	if (c->n > 0)
-		c->to = to;
+		c->to = resp->revision;
 	flush_changes(g, c);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -227,9 +227,12 @@
 			const struct platform_endpoint *addr);
 /* The instance is no longer listed in the store. */
 void gossip_unlist_peer(struct node_gossip *g, const char *name);
-/* Relays changes of the store to the instances of the zone that do not watch it. */
-void gossip_send_changes(struct node_gossip *g, const struct platform_item *items, unsigned n,
-			 uint64_t from, uint64_t to, unsigned removal_grace_ms);
+/*
+ * Relays the response to a watch after revision from, of all keys or of servers' entries only, to
+ * the instances of the zone that do not watch the store.
+ */
+void gossip_send_changes(struct node_gossip *g, const struct platform_response *resp,
+			 bool entries_only, uint64_t from, unsigned removal_grace_ms);
 /* Sends a report immediately, for example when this instance shuts down. */
 void gossip_send_report(struct node_gossip *g);
 
--- a/src/node/store-sync.c
+++ b/src/node/store-sync.c
@@ -5,6 +5,13 @@
 #include "src/node/node.h"
 #include "src/node/wire.h"
 
+/*
+ * While a large response is being received, the servers' entries are watched by calls of their own:
+ * the time that a call waits for changes, its timeout, and the pause before the next one.
+ */
+#define ENTRIES_WAIT_MS 100
+#define ENTRIES_TIMEOUT_MS 1000
+#define ENTRIES_PAUSE_US (50 * CS_US_PER_MS)
 /* Responses of the store that take longer to arrive are logged. */
 #define SLOW_RESPONSE_US (200 * CS_US_PER_MS)
 
@@ -13,6 +20,11 @@
 	struct cs_feed state;
 	struct platform_call *call;
 	struct cs_timer call_timer;
+	/* Watch of the servers' entries while the response to call is being received. */
+	bool entries_ahead;
+	struct platform_call *entries_call;
+	uint64_t entries_after;
+	struct cs_timer entries_timer;
 	char last_key[256]; /* last key of the last page read */
 	/* Zones whose evacuation key was found by the current full read. */
 	bool evacuated_seen[CS_ZONES_MAX];
@@ -25,6 +37,9 @@
 static void on_call_timer(struct cs_timer *t, void *arg);
 static void on_page(const struct platform_response *resp, void *arg);
 static void on_watch(const struct platform_response *resp, void *arg);
+static void on_large_response(void *arg);
+static void on_entries_timer(struct cs_timer *t, void *arg);
+static void on_entries(const struct platform_response *resp, void *arg);
 
 struct store_sync *store_sync_create(struct node *n)
 {
@@ -33,6 +48,7 @@
 	ss->node = n;
 	cs_feed_init(&ss->state, cs_random_u64(), cs_mono_us());
 	cs_timer_init(&ss->call_timer, on_call_timer, ss);
+	cs_timer_init(&ss->entries_timer, on_entries_timer, ss);
 	cs_timer_start(n->timers, &ss->call_timer, 0);
 	return ss;
 }
@@ -42,7 +58,9 @@
 	if (ss == NULL)
 		return;
 	platform_cancel(ss->call);
+	platform_cancel(ss->entries_call);
 	cs_timer_stop(&ss->call_timer);
+	cs_timer_stop(&ss->entries_timer);
 	free(ss);
 }
 
@@ -128,7 +146,7 @@
 				 (unsigned long long)(now - ss->state.behind_since_us) /
 					 CS_US_PER_MS);
 		ss->call = platform_watch(n->store, PLATFORM_ALL_KEYS, step.after, step.wait_ms,
-					  step.timeout_ms, on_watch, ss);
+					  step.timeout_ms, on_large_response, on_watch, ss);
 		break;
 	}
 }
@@ -274,6 +292,28 @@
 	}
 }
 
+/* What was known before some changes arrived, some of which may have arrived before on another way.
+ */
+struct known {
+	uint64_t revision; /* of all keys */
+	uint64_t entries_revision; /* of servers' entries */
+};
+
+static struct known what_is_known(const struct store_sync *ss)
+{
+	return (struct known){ss->state.revision, cs_feed_entries_revision(&ss->state)};
+}
+
+static void apply_change(struct store_sync *ss, const struct platform_item *it,
+			 const struct known *known, uint64_t now)
+{
+	const char *name;
+	bool entry = platform_key_parse(it->key, &name) == PLATFORM_KEY_SERVER;
+
+	if (it->revision > (entry ? known->entries_revision : known->revision))
+		apply_item(ss, it, now);
+}
+
 static void finish_full_read(struct store_sync *ss, uint64_t now)
 {
 	struct node *n = ss->node;
@@ -314,25 +354,24 @@
 
 void store_sync_apply_relayed(struct store_sync *ss, const struct wire_changes *c)
 {
-	uint64_t now = cs_mono_us(), known = ss->state.revision;
+	struct known known = what_is_known(ss);
+	uint64_t now = cs_mono_us();
 	struct platform_item it;
 	unsigned i;
 
-	if (!cs_feed_apply_relayed(&ss->state, c->from, c->to, now))
+	if (!(c->entries_only ? cs_feed_apply_entries(&ss->state, c->from, c->to)
+			      : cs_feed_apply_relayed(&ss->state, c->from, c->to, now)))
 		return;
 	ss->relayed_grace_us = c->removal_grace_ms * CS_US_PER_MS;
 	for (i = 0; i < c->n; i++) {
-		if (c->change[i].revision <= known)
-			continue;
-		if (c->change[i].omitted) {
-			document_load_fetch(ss->node->document_load, c->change[i].revision);
-			continue;
-		}
 		it = (struct platform_item){.key = c->change[i].key,
 					    .value = (char *)(uintptr_t)c->change[i].value,
 					    .len = c->change[i].len,
 					    .revision = c->change[i].revision};
-		apply_item(ss, &it, now);
+		if (!c->change[i].omitted)
+			apply_change(ss, &it, &known, now);
+		else if (it.revision > known.revision)
+			document_load_fetch(ss->node->document_load, it.revision);
 	}
 	ss->relayed_grace_us = 0;
 }
@@ -341,22 +380,20 @@
 {
 	struct store_sync *ss = arg;
 	struct node *n = ss->node;
-	uint64_t now = cs_mono_us(), from;
+	struct known known = what_is_known(ss);
+	uint64_t now = cs_mono_us();
 	unsigned i;
 
 	ss->call = NULL;
+	ss->entries_ahead = false;
 	log_slow_response(ss, resp);
 	switch (resp->status) {
 	case PLATFORM_OK:
-		from = ss->state.revision;
 		cs_feed_watch_completed(&ss->state, resp->revision, resp->n_items, now);
 		for (i = 0; i < resp->n_items; i++)
-			/* Relayed changes may have arrived during the call. */
-			if (resp->items[i].revision > from)
-				apply_item(ss, &resp->items[i], now);
+			apply_change(ss, &resp->items[i], &known, now);
 		if (resp->n_items > 0 && cs_steer_is_large_fleet(n->steer) && !ss->state.following)
-			gossip_send_changes(n->gossip, resp->items, resp->n_items, from,
-					    ss->state.revision,
+			gossip_send_changes(n->gossip, resp, false, known.revision,
 					    (unsigned)(current_grace_us(ss, now) / CS_US_PER_MS));
 		log_store_transition(ss, resp);
 		break;
@@ -371,3 +408,54 @@
 	}
 	cs_timer_start(n->timers, &ss->call_timer, 0);
 }
+
+/* Called from within the transfer, so that the call is made in the next iteration of the loop. */
+static void on_large_response(void *arg)
+{
+	struct store_sync *ss = arg;
+
+	ss->entries_ahead = true;
+	if (ss->entries_call == NULL)
+		cs_timer_start(ss->node->timers, &ss->entries_timer, 0);
+}
+
+static void on_entries_timer(struct cs_timer *t, void *arg)
+{
+	struct store_sync *ss = arg;
+
+	if (!ss->entries_ahead)
+		return;
+	ss->entries_after = ss->state.revision;
+	ss->entries_call = platform_watch(ss->node->store, PLATFORM_SERVER_KEYS, ss->entries_after,
+					  ENTRIES_WAIT_MS, ENTRIES_WAIT_MS + ENTRIES_TIMEOUT_MS,
+					  NULL, on_entries, ss);
+}
+
+/* Applies and relays changes of servers' entries that arrived ahead of the response to the other
+ * call. */
+static void apply_entries(struct store_sync *ss, const struct platform_response *resp, uint64_t now)
+{
+	struct known known = what_is_known(ss);
+	struct node *n = ss->node;
+	unsigned i;
+
+	cs_feed_contact(&ss->state, now);
+	if (!cs_feed_apply_entries(&ss->state, ss->entries_after, resp->revision))
+		return;
+	for (i = 0; i < resp->n_items; i++)
+		apply_change(ss, &resp->items[i], &known, now);
+	if (resp->n_items > 0 && cs_steer_is_large_fleet(n->steer) && !ss->state.following)
+		gossip_send_changes(n->gossip, resp, true, ss->entries_after,
+				    (unsigned)(current_grace_us(ss, now) / CS_US_PER_MS));
+}
+
+static void on_entries(const struct platform_response *resp, void *arg)
+{
+	struct store_sync *ss = arg;
+
+	ss->entries_call = NULL;
+	if (resp->status == PLATFORM_OK)
+		apply_entries(ss, resp, cs_mono_us());
+	if (ss->entries_ahead)
+		cs_timer_start(ss->node->timers, &ss->entries_timer, ENTRIES_PAUSE_US);
+}
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -146,7 +146,7 @@
 	msgpack_packer_init(&pk, buf, msgpack_sbuffer_write);
 	msgpack_pack_array(&pk, CHANGES_ELEMENTS);
 	msgpack_pack_int(&pk, FORMAT_VERSION);
-	msgpack_pack_int(&pk, WIRE_CHANGES);
+	msgpack_pack_int(&pk, c->entries_only ? WIRE_ENTRIES : WIRE_CHANGES);
 	pack_text(&pk, c->name);
 	msgpack_pack_uint64(&pk, c->from);
 	msgpack_pack_uint64(&pk, c->to);
@@ -404,7 +404,9 @@
 		out->u.report.is_digest = out->kind == WIRE_DIGEST;
 		break;
 	case WIRE_CHANGES:
+	case WIRE_ENTRIES:
 		ok = unpack_changes(v, n, &out->u.changes);
+		out->u.changes.entries_only = out->kind == WIRE_ENTRIES;
 		break;
 	}
 out:
--- a/src/node/wire.h
+++ b/src/node/wire.h
@@ -14,7 +14,8 @@
 enum wire_kind {
 	WIRE_REPORT = 1, /* state of one instance */
 	WIRE_DIGEST = 2, /* aggregated state of a zone's instances */
-	WIRE_CHANGES = 3 /* changes of the store */
+	WIRE_CHANGES = 3, /* changes of the store */
+	WIRE_ENTRIES = 4 /* changes of servers' entries alone, ahead of others */
 };
 
 /* Store changes that an instance which watches the store relays to others. */
@@ -29,6 +30,7 @@
 };
 struct wire_changes {
 	char name[CS_NAME_MAX]; /* sender */
+	bool entries_only; /* WIRE_ENTRIES */
 	uint64_t from, to; /* covers all changes with from < revision <= to */
 	unsigned removal_grace_ms; /* servers whose entries were removed stay usable for this time */
 	unsigned root_index; /* index of the root that sends, which selects the distribution tree */
