proxy, http: limit the trailers of a response, and the head of a control response

A faulty server that sends trailer lines without end made the instance keep all of them until the deadline: 352 MB from one request, over the 160 MB of a small instance, whose end ends all its requests. Lines behind the body were passed over without being counted, and libcurl keeps each. They now count up to 64 KB, then the transfer fails. The same limit holds for the head of the store's responses, whose lines were not counted either.

The check 'endless trailers' of node-faulty passed for another reason: its stand-in sent 12 bytes of a text of 10, and the NUL byte made libcurl reject the line. Literals are now sent with their own length (no other one was wrong). New checks: status line, folded lines, chunk sizes and extensions, chunks, body, bytes behind the end; peak memory after each.

--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -7,6 +7,8 @@
 
 #define CONNECT_TIMEOUT_MS 1000L
 #define RESPONSE_MAX_DEFAULT 65536 /* bytes */
+/* Limit for the lines of the head and the trailers in bytes, which libcurl keeps. */
+#define HEAD_MAX 65536
 
 struct cs_fetch {
 	struct cs_curl *curl;
@@ -17,6 +19,7 @@
 	char *request_body;
 	char *body;
 	size_t len;
+	size_t head_len;
 	size_t max_body;
 	void (*large_cb)(void *arg);
 	size_t large;
@@ -132,6 +135,9 @@
 	cs_timer_stop(&f->first_byte_timer);
 	if (f->response_us == 0)
 		f->response_us = cs_mono_us();
+	f->head_len += len;
+	if (f->head_len > HEAD_MAX)
+		return 0;
 	if (len > sizeof(index_header) &&
 	    strncasecmp(data, index_header, sizeof(index_header) - 1) == 0) {
 		number_len = len - (sizeof(index_header) - 1);
--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -15,7 +15,10 @@
 #define IDLE_TRANSFERS_MAX 256
 /* Buffer memory that an idle transfer keeps, in bytes. */
 #define IDLE_BUFFER_SIZE_MAX (16 * 1024)
-/* Limit for the header lines of one response in bytes; the transfer fails if it is exceeded. */
+/*
+ * Limit for the header lines of one response in bytes, and for its trailers. The transfer fails if
+ * it is exceeded: libcurl keeps each line until the transfer ends.
+ */
 #define RESPONSE_HEAD_MAX (64 * 1024)
 /* Limit of the idle connections that one connection pool keeps to all servers together. */
 #define IDLE_CONNECTIONS_MAX 1024L
@@ -60,6 +63,7 @@
 	enum cs_framing framing;
 	uint64_t length;
 	struct head head;
+	size_t trailer_len; /* bytes of lines after the body */
 	struct ring data;
 	const char *error;
 };
@@ -540,8 +544,10 @@
 	const char *colon;
 
 	/* Lines after the body are trailers, which are not forwarded. */
-	if (t->has_head)
-		return len;
+	if (t->has_head) {
+		t->trailer_len += len;
+		return t->trailer_len <= RESPONSE_HEAD_MAX ? len : 0;
+	}
 	if (len > 5 && strncmp(data, "HTTP/", 5) == 0) {
 		parse_status(t, data, end);
 		return len;
--- a/tests/run/check.d/node-faulty.sh
+++ b/tests/run/check.d/node-faulty.sh
@@ -17,13 +17,21 @@
 		ok "a head of $n lines that ends early gives no success: $kind, $a" has "$a" '^50[24] 0'
 	done
 done
-for what in head lines interim trailers; do
+peak() { awk '/VmHWM/ { print $2 }' "/proc/$pid_node1/status"; }
+for what in head lines interim trailers status folded chunk-size; do
 	a=$(status "/unsafe/endless-$what" -d x)
 	# At the time limit the status would be 504.
 	ok "endless $what give an error before the time limit ($a)" [ "$a" = "502 0" ]
+	ok "memory stays small (peak $(peak) KiB)" [ "$(peak)" -lt 60000 ]
 done
-rss=$(awk '/VmHWM/ { print $2 }' "/proc/$pid_node1/status")
-ok "memory stays small (${rss} KiB)" [ "$rss" -lt 60000 ]
+for what in chunk-extension chunks body; do
+	a=$(status "/unsafe/endless-$what" -d x)
+	ok "endless $what give no complete answer ($a)" lacks "$a" '^200 0$'
+	ok "memory stays small (peak $(peak) KiB)" [ "$(peak)" -lt 60000 ]
+done
+a=$(status /unsafe/endless-behind -d x)
+ok "bytes behind an answer do not spoil it ($a)" [ "$a" = "200 0" ]
+ok "memory stays small (peak $(peak) KiB)" [ "$(peak)" -lt 60000 ]
 a=$(call 1 /safe/ok)
 ok "requests are answered afterwards" has "$a" '^ok'
 # Unsafe requests use a new connection unless one was used in the last 100 ms.
--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -66,6 +66,9 @@
 	return true;
 }
 
+/* A literal is sent without its NUL byte. */
+#define send_literal(c, text) send_all(c, text, sizeof(text) - 1)
+
 /* Receives more bytes into the buffer; false at end of file or on an error. */
 static bool fill_buffer(struct client *c)
 {
@@ -251,7 +254,7 @@
 	snprintf(line, sizeof(line), "%llx\r\n", (unsigned long long)n);
 	send_all(c, line, strlen(line));
 	send_pattern(c, n);
-	send_all(c, "\r\n", 2);
+	send_literal(c, "\r\n");
 }
 
 static void do_ok(struct client *c, long long n)
@@ -289,7 +292,7 @@
 		part = n < BLOCK_BYTES ? n : BLOCK_BYTES;
 		send_chunk(c, part);
 	}
-	send_all(c, "0\r\n\r\n", 5);
+	send_literal(c, "0\r\n\r\n");
 }
 
 /* The end of the connection marks the end of the response body. */
@@ -423,11 +426,11 @@
 {
 	if (!read_request(c))
 		return;
-	send_all(c, "HTTP/1.1 200 Status\r\n", 21);
+	send_literal(c, "HTTP/1.1 200 Status\r\n");
 	send_all(c, c->answer_lines, strlen(c->answer_lines));
 	for (; n > 0; n--)
-		send_all(c, "X-Line: 1\r\n", 11);
-	send_all(c, "Content-Le", 10);
+		send_literal(c, "X-Line: 1\r\n");
+	send_literal(c, "Content-Le");
 	c->close = true;
 }
 
@@ -451,7 +454,7 @@
 {
 	if (!read_request(c))
 		return;
-	send_all(c, "HTTP/1.1 200 Status\r\n", 21);
+	send_literal(c, "HTTP/1.1 200 Status\r\n");
 	send_endless(c, "X-Line: 1\r\n");
 }
 
@@ -460,7 +463,7 @@
 {
 	if (!read_request(c))
 		return;
-	send_all(c, "HTTP/1.1 200 Status\r\n", 21);
+	send_literal(c, "HTTP/1.1 200 Status\r\n");
 	send_endless(c, "no header at all\r\n");
 }
 
@@ -475,10 +478,62 @@
 	if (!read_request(c))
 		return;
 	send_head(c, 200, "Transfer-Encoding: chunked\r\n", -1);
-	send_all(c, "2\r\nok\r\n0\r\n", 12);
+	send_literal(c, "2\r\nok\r\n0\r\n");
 	send_endless(c, "X-Trailer: 1\r\n");
 }
 
+static void do_endless_status(struct client *c, long long n)
+{
+	if (!read_request(c))
+		return;
+	send_literal(c, "HTTP/1.1 200 ");
+	send_endless(c, "Status ");
+}
+
+/* One header whose value continues on further lines. */
+static void do_endless_folded(struct client *c, long long n)
+{
+	if (!read_request(c))
+		return;
+	send_literal(c, "HTTP/1.1 200 Status\r\nX-Line: 1\r\n");
+	send_endless(c, " and more\r\n");
+}
+
+static void do_endless_chunk_size(struct client *c, long long n)
+{
+	if (!read_request(c))
+		return;
+	send_head(c, 200, "Transfer-Encoding: chunked\r\n", -1);
+	send_endless(c, "0");
+}
+
+static void do_endless_chunk_extension(struct client *c, long long n)
+{
+	if (!read_request(c))
+		return;
+	send_head(c, 200, "Transfer-Encoding: chunked\r\n", -1);
+	send_literal(c, "2;x=");
+	send_endless(c, "y");
+}
+
+static void do_endless_chunks(struct client *c, long long n)
+{
+	if (!read_request(c))
+		return;
+	send_head(c, 200, "Transfer-Encoding: chunked\r\n", -1);
+	send_endless(c, "8\r\nendless \r\n");
+}
+
+/* More bytes than any buffer holds behind a complete response. */
+static void do_endless_behind(struct client *c, long long n)
+{
+	if (!read_request(c))
+		return;
+	send_head(c, 200, "", 2);
+	send_literal(c, "ok");
+	send_endless(c, "endless ");
+}
+
 /* Resets the connection in the middle of a body of n bytes whose end the connection would mark. */
 static void do_reset_body(struct client *c, long long n)
 {
@@ -519,7 +574,7 @@
 			   part;
 
 	if (c->expects_continue)
-		send_all(c, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+		send_literal(c, "HTTP/1.1 100 Continue\r\n\r\n");
 	for (; left > 0; left -= part) {
 		part = left < 16384 ? left : 16384;
 		if (!read_body(c, part))
@@ -539,7 +594,7 @@
 		send_chunk(c, 10);
 		usleep(100000);
 	}
-	send_all(c, "0\r\n\r\n", 5);
+	send_literal(c, "0\r\n\r\n");
 }
 
 static void do_head(struct client *c, long long n)
@@ -587,6 +642,12 @@
 	{"/endless-lines", do_endless_lines},
 	{"/endless-interim", do_endless_interim},
 	{"/endless-trailers", do_endless_trailers},
+	{"/endless-status", do_endless_status},
+	{"/endless-folded", do_endless_folded},
+	{"/endless-chunk-size", do_endless_chunk_size},
+	{"/endless-chunk-extension", do_endless_chunk_extension},
+	{"/endless-chunks", do_endless_chunks},
+	{"/endless-behind", do_endless_behind},
 	{"/endless-body", do_endless_body},
 	{"/reset-body/", do_reset_body},
 	{"/upload", do_upload},
--- a/tests/unit/test-fetch.c
+++ b/tests/unit/test-fetch.c
@@ -116,6 +116,35 @@
 	fixture_destroy(&f);
 }
 
+/* Sends 128 KB of header lines, and neither the end of the head nor that of the connection. */
+static void on_lines_timer(struct cs_timer *t, void *arg)
+{
+	struct fixture *f = arg;
+	char buf[1024];
+	unsigned i;
+
+	f->fd = accept(f->listener, NULL, NULL);
+	g_assert_cmpint(recv(f->fd, buf, sizeof(buf), 0), >, 0);
+	send_text(f, "HTTP/1.1 200 OK\r\n");
+	for (i = 0; i < 8192; i++)
+		send_text(f, "X-Line: 123456\r\n");
+}
+
+/* Guards against keeping all that a faulty store sends as a head, until the call times out. */
+static void test_endless_head_fails(void)
+{
+	struct fixture f;
+	uint64_t took_ms;
+
+	fixture_init(&f);
+	f.part_timer.cb = on_lines_timer;
+	cs_timer_start(f.timers, &f.part_timer, 50 * CS_US_PER_MS);
+	took_ms = fetch(&f, 300, 4000);
+	g_assert_cmpint(f.code, ==, CURLE_WRITE_ERROR);
+	g_assert_cmpuint(took_ms, <, 4000);
+	fixture_destroy(&f);
+}
+
 /* Guards against waiting for a silent server as long as for a complete response. */
 static void test_silent_server_times_out_early(void)
 {
@@ -143,6 +172,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	curl_global_init(CURL_GLOBAL_NOTHING);
+	g_test_add_func("/fetch/endless-head-fails", test_endless_head_fails);
 	g_test_add_func("/fetch/slow-body-completes", test_slow_body_completes);
 	g_test_add_func("/fetch/silent-server-times-out-early", test_silent_server_times_out_early);
 	g_test_add_func("/fetch/total-timeout-applies-to-body", test_total_timeout_applies_to_body);
