--- a/tests/unit/test-platform-store.c
+++ b/tests/unit/test-platform-store.c
@@ -101,8 +101,9 @@
 	size_t size = sodium_base64_encoded_len(len, sodium_base64_VARIANT_ORIGINAL);
 	char *out = g_malloc(size);
 
-	return sodium_bin2base64(out, size, (const unsigned char *)data, len,
-				 sodium_base64_VARIANT_ORIGINAL);
+	sodium_bin2base64(out, size, (const unsigned char *)data, len,
+			  sodium_base64_VARIANT_ORIGINAL);
+	return out;
 }
 
 /* Guards against values that are lost, exchanged or cut when long ones are read apart from the
