--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -113,8 +113,7 @@
  */
 typedef void (*cs_suspend_cb)(uint64_t delay_us, void *arg);
 void cs_timers_on_suspend(struct cs_timers *ts, uint64_t limit_us, cs_suspend_cb cb, void *arg);
-/* Calls cb at the end of each iteration with the time from its wake-up until the loop sleeps again.
- */
+/* Calls cb at the end of each iteration of the loop with the time since its wake-up. */
 typedef void (*cs_turn_cb)(uint64_t duration_us, void *arg);
 void cs_timers_on_turn(struct cs_timers *ts, cs_turn_cb cb, void *arg);
 void cs_timer_init(struct cs_timer *t, cs_timer_cb cb, void *arg);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -31,7 +31,8 @@
 
 /*
  * Priority of the sockets on which the store and other instances are heard. After a long iteration
- * of the loop, what they say is known before any request is chosen a server for, or sent.
+ * of the loop, what they say is known before a server is chosen for a request and before one is
+ * sent.
  */
 #define NEWS_PRIORITY EV_MAXPRI
 
--- a/src/node/store-sync.c
+++ b/src/node/store-sync.c
@@ -20,10 +20,10 @@
 	struct cs_feed state;
 	struct platform_call *call;
 	struct cs_timer call_timer;
-	/* Watch of the servers' entries while the response to call is being received. */
-	bool entries_ahead;
+	/* Watch of the servers' entries while a large response to call is being received. */
+	bool entries_ahead; /* such a response is being received */
 	struct platform_call *entries_call;
-	uint64_t entries_after;
+	uint64_t entries_after; /* revision that it began at */
 	struct cs_timer entries_timer;
 	char last_key[256]; /* last key of the last page read */
 	/* Zones whose evacuation key was found by the current full read. */
@@ -292,8 +292,7 @@
 	}
 }
 
-/* What was known before some changes arrived, some of which may have arrived before on another way.
- */
+/* Revisions that were known before changes arrived: those up to them have been applied. */
 struct known {
 	uint64_t revision; /* of all keys */
 	uint64_t entries_revision; /* of servers' entries */
@@ -304,6 +303,7 @@
 	return (struct known){ss->state.revision, cs_feed_entries_revision(&ss->state)};
 }
 
+/* Applies a change unless it has arrived before, by another call or relayed. */
 static void apply_change(struct store_sync *ss, const struct platform_item *it,
 			 const struct known *known, uint64_t now)
 {
@@ -431,8 +431,7 @@
 					  NULL, on_entries, ss);
 }
 
-/* Applies and relays changes of servers' entries that arrived ahead of the response to the other
- * call. */
+/* Applies and relays changes of entries that arrived ahead of the response to the other call. */
 static void apply_entries(struct store_sync *ss, const struct platform_response *resp, uint64_t now)
 {
 	struct known known = what_is_known(ss);
