node: read a document for as long as the other work of an iteration takes

On a busy instance with a tenth of a core an iteration takes tens of ms and a slice one, so that reading a document of 0.8 MB took up to 3,028 ms. Slices are now read for as long as the rest of the iteration took, at most 50 ms at a time.

--- a/src/node/document-load.c
+++ b/src/node/document-load.c
@@ -12,6 +12,12 @@
 /* Pause before another call, with a jitter of 50 % either way. */
 #define FETCH_RETRY_US (300 * CS_US_PER_MS)
 
+/*
+ * Longest time for which slices are read in one iteration of the loop. On a busy instance, reading
+ * takes as long as the other work of an iteration, so that a document is in force in time.
+ */
+#define TURN_MAX_US (50 * CS_US_PER_MS)
+
 /* The text of a document that waits to be read. */
 struct document_text {
 	char *text; /* NULL: none */
@@ -26,6 +32,7 @@
 	struct document_text reading; /* its text belongs to the reader */
 	struct document_text next; /* the latest one that arrived meanwhile */
 	struct cs_timer slice_timer;
+	uint64_t slice_end_us; /* when the last slice was read */
 	uint64_t handled_revision; /* of the last document that was read or refused */
 	uint64_t wanted_revision; /* the store has a document of this revision or a later one */
 	struct platform_call *fetch;
@@ -66,6 +73,7 @@
 	dl->reading = dl->next;
 	dl->next.text = NULL;
 	dl->reader = platform_document_reader_create(dl->reading.text, dl->reading.len);
+	dl->slice_end_us = cs_mono_us();
 	cs_timer_start(dl->node->timers, &dl->slice_timer, 0);
 }
 
@@ -125,10 +133,18 @@
 static void on_slice(struct cs_timer *t, void *arg)
 {
 	struct document_load *dl = arg;
+	uint64_t begin = cs_mono_us(), other_us = begin - dl->slice_end_us;
 	struct cs_document *doc = NULL;
+	enum platform_reading reading;
 	struct cs_msg msg;
 
-	switch (platform_document_reader_next(dl->reader, &doc, &msg)) {
+	if (other_us > TURN_MAX_US)
+		other_us = TURN_MAX_US;
+	do {
+		reading = platform_document_reader_next(dl->reader, &doc, &msg);
+		dl->slice_end_us = cs_mono_us();
+	} while (reading == PLATFORM_READING_MORE && dl->slice_end_us - begin < other_us);
+	switch (reading) {
 	case PLATFORM_READING_MORE:
 		cs_timer_start(dl->node->timers, t, 0);
 		return;
