platform: a read of one key without an item in its response has failed

On a last reading of the change: a 200 with an empty body made platform_get succeed without an item, and document-load.c then read item 0 of none, which would end the instance. Only a faulty store sends that.

--- a/tests/unit/test-platform-store.c
+++ b/tests/unit/test-platform-store.c
@@ -54,8 +54,8 @@
 			(int)strlen(f->body));
 }
 
-/* Runs a watch whose response has the given body. */
-static void watch(struct fixture *f, const char *body)
+/* Runs a watch, or the read of one key, whose response has the given body. */
+static void call(struct fixture *f, const char *key, const char *body)
 {
 	struct platform_endpoint at = {.addr = "127.0.0.1"};
 	struct sockaddr_in sa = {.sin_family = AF_INET};
@@ -76,7 +76,10 @@
 	f->store = platform_store_create(f->curl, &at);
 	cs_timer_init(&f->serve_timer, on_serve, f);
 	cs_timer_start(f->timers, &f->serve_timer, 20 * CS_US_PER_MS);
-	platform_watch(f->store, PLATFORM_ALL_KEYS, 1, 100, 1000, NULL, on_response, f);
+	if (key != NULL)
+		platform_get(f->store, key, 1000, on_response, f);
+	else
+		platform_watch(f->store, PLATFORM_ALL_KEYS, 1, 100, 1000, NULL, on_response, f);
 	while (!f->done && cs_mono_us() - start < 5 * CS_US_PER_S)
 		ev_run(f->loop, EVRUN_ONCE);
 	g_assert_true(f->done);
@@ -124,7 +127,7 @@
 		"{\"key\":\"servers/y\",\"revision\":4,\"tombstone\":true},"
 		"{\"key\":\"servers/z\",\"value\":\"%s\",\"revision\":5}],\"at-revision\":5}",
 		a, c, b);
-	watch(&f, body);
+	call(&f, NULL, body);
 	g_assert_cmpint(f.status, ==, PLATFORM_OK);
 	g_assert_cmpuint(f.n_items, ==, 4);
 	g_assert_cmpmem(f.value[0], f.len[0], long_a, LONG_BYTES);
@@ -152,7 +155,7 @@
 		"{\"events\":[{\"key\":\"op/config\",\"value\":\"%s\",\"revision\":2},"
 		"{\"key\":\"servers/x\",\"value\":\"@0\",\"revision\":3}],\"at-revision\":3}",
 		a);
-	watch(&f, body);
+	call(&f, NULL, body);
 	g_assert_cmpint(f.status, ==, PLATFORM_OK);
 	g_assert_cmpuint(f.n_items, ==, 1);
 	g_assert_cmpmem(f.value[0], f.len[0], text, LONG_BYTES);
@@ -162,10 +165,25 @@
 	g_free(text);
 }
 
+/* Guards against a read of one key that succeeds without an item, which its caller then uses. */
+static void test_get_without_item(void)
+{
+	static const char *const bodies[] = {"", "{}", "[]", "{\"key\":\"k\"}"};
+	struct fixture f;
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		call(&f, "k", bodies[i]);
+		g_assert_cmpint(f.status, ==, PLATFORM_BAD);
+		fixture_destroy(&f);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform-store/long-and-short-values", test_long_and_short_values);
 	g_test_add_func("/platform-store/value-like-a-mark", test_value_like_a_mark);
+	g_test_add_func("/platform-store/get-without-item", test_get_without_item);
 	return g_test_run();
 }
