node: a stop takes only requests whose whole deadline it can keep

Callers saw a photo, sent 3.2 s after a SIGTERM, passed on, broken off at 5.4 s and answered 504. Cause: stop_take_request() took a request if five times the mean service time of its route was left, and cut its deadline. Work has a tail of seven times the mean and more. Requests that waited at the signal, and retries, kept deadlines after the end of the process. Change: a request is sent only if its whole deadline is before the end; one that may be repeated is taken during the announcement as before. The signal limits requests in progress too and refuses those that wait. reason=stopping in the log tells this from the caller's deadline, which three lines in one millisecond did not.

--- a/src/node/frontend.c
+++ b/src/node/frontend.c
@@ -15,8 +15,6 @@
 #define IDLE_DEFAULT_S 30
 /* Retry-After while the instance has not yet loaded the store and a document. */
 #define NOT_READY_RETRY_AFTER_MS 300
-/* Retry-After of an instance that stops; the client uses another one. */
-#define STOPPING_RETRY_AFTER_MS 20
 /* Retry-After for a route that this version cannot read; another instance may be able to. */
 #define UNREADABLE_RETRY_AFTER_MS 1000
 /* Headers added to those of the client, and their size in bytes. */
@@ -191,9 +189,10 @@
 	req->steer_state.object = object != NULL ? cs_hash_str(object, 0) : 0;
 	req->steer_state.arg = req;
 	cs_steer_request_init(n->steer, &req->steer_state, r, budget_ms, now);
-	if (!stop_take_request(n, &req->steer_state, now)) {
+	stop_limit_request(n, req);
+	if (!stop_may_send(n, req)) {
 		(*n->stats.refused)++;
-		reject(req, 503, "stopping", STOPPING_RETRY_AFTER_MS);
+		reject(req, 503, "stopping", stop_retry_after_ms(n));
 		return false;
 	}
 	return true;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -77,6 +77,7 @@
 	struct ring body;
 	TAILQ_HEAD(attempt_list, attempt) attempts;
 	struct attempt *streaming_attempt; /* its response is being streamed to the client */
+	bool outlasts_process; /* its deadline was after the end of the process, which stops */
 	bool may_have_run; /* a finished attempt may have run on its server */
 	unsigned n_attempts;
 	struct cs_timer deadline_timer, hedge_timer;
@@ -157,6 +158,8 @@
 void request_progress(struct request *req, struct attempt *a);
 /* Decides again on the waiting requests that may now be sent or refused. */
 void requests_dispatch(struct node *n);
+/* Limits the requests in progress to the end of a stopping process; refuses those not to be sent. */
+void requests_limit_to_stop(struct node *n);
 /* Schedules requests_dispatch for the next turn of the loop. */
 void requests_schedule_dispatch(struct node *n);
 
@@ -251,10 +254,13 @@
 /* stop.c: graceful shutdown; the handlers of SIGTERM, SIGINT and SIGHUP. */
 void stop_init(struct node *n);
 /*
- * Decides on a request that arrives while the process stops: false if it could still run when the
- * process ends. One that is taken gets a deadline before that end.
+ * Moves a deadline after the end of the process to before it; true if it was moved. A request to
+ * which that happened may be broken off, and stop_may_send decides whether it is sent all the same.
  */
-bool stop_take_request(const struct node *n, struct cs_steer_request *req, uint64_t now_us);
+bool stop_limit_request(const struct node *n, struct request *req);
+bool stop_may_send(const struct node *n, const struct request *req);
+/* Retry-After of requests that are refused because the process stops. */
+unsigned stop_retry_after_ms(const struct node *n);
 
 /* reload.c: reloads of the settings file, on SIGHUP or when its mtime changes. */
 /* Defers SIGHUP while it has no handler: its default action ends the process. */
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -145,6 +145,10 @@
 	struct cs_steer_decision d;
 	uint64_t now = cs_mono_us();
 
+	if (!stop_may_send(req->node, req)) {
+		request_fail(req, 503, "stopping", stop_retry_after_ms(req->node));
+		return;
+	}
 	cs_steer_decide(req->node->steer, &req->steer_state, now, &d);
 	request_apply_decision(req, &d, now);
 }
@@ -239,6 +243,31 @@
 		cs_timer_start(n->timers, &n->dispatch_timer, DISPATCH_INTERVAL_US);
 }
 
+/* Restarts the deadline timer after the deadline was moved. */
+static void update_deadline_timer(struct request *req, uint64_t now)
+{
+	uint64_t until = req->steer_state.deadline_us;
+
+	if (cs_timer_active(&req->deadline_timer))
+		cs_timer_start(req->node->timers, &req->deadline_timer,
+			       until > now ? until - now : 0);
+}
+
+void requests_limit_to_stop(struct node *n)
+{
+	struct request *req, *next;
+	uint64_t now = cs_mono_us();
+
+	TAILQ_FOREACH_SAFE(req, &n->requests, entry, next) {
+		if (!stop_limit_request(n, req))
+			continue;
+		update_deadline_timer(req, now);
+		if ((req->stage == STAGE_BODY || req->stage == STAGE_WAITING) &&
+		    !stop_may_send(n, req))
+			request_fail(req, 503, "stopping", stop_retry_after_ms(n));
+	}
+}
+
 void request_disconnected(struct request *req)
 {
 	struct node *n = req->node;
@@ -433,7 +462,8 @@
 	if (req->stage == STAGE_RESPONDING) {
 		if (req->streaming_attempt != NULL) {
 			cs_transfer_stop(req->streaming_attempt->transfer);
-			record_cut(req, req->streaming_attempt, "deadline");
+			record_cut(req, req->streaming_attempt,
+				   req->outlasts_process ? "stopping" : "deadline");
 			cs_call_resume(req->call);
 		}
 		return;
@@ -441,7 +471,12 @@
 	if (request_may_have_run(req))
 		req->may_have_run = true;
 	end_attempts_except(req, NULL, CS_STEER_TIMEOUT);
-	request_fail(req, req->may_have_run ? 504 : 503, "deadline", RETRY_AFTER_DEFAULT_MS);
+	if (req->outlasts_process)
+		request_fail(req, req->may_have_run ? 504 : 503, "stopping",
+			     stop_retry_after_ms(req->node));
+	else
+		request_fail(req, req->may_have_run ? 504 : 503, "deadline",
+			     RETRY_AFTER_DEFAULT_MS);
 }
 
 /* The response is slower than usual: starts a hedged attempt if a slot is free. */
--- a/src/node/stop.c
+++ b/src/node/stop.c
@@ -1,9 +1,11 @@
 /*
  * Graceful shutdown. The instance reports itself as not ready at once and is dropped from the
  * directory responses of the others. It accepts connections until the lookups that clients have
- * cached expire, then closes the listener, and later the idle connections. A request that could
- * still run at the end is refused as not run, so that its client can go to another instance. The
- * process exits when no request is left, or shortly before the platform would kill it.
+ * cached expire, then closes the listener, and later the idle connections. A request whose deadline
+ * is after the end of the process is refused as not run, so that its client can go to another
+ * instance: service times have a long tail, and no multiple of their mean is a safe bound. During
+ * the announcement one that may be repeated is taken all the same. The process exits when no
+ * request is left, or shortly before the platform would kill it.
  */
 #include <signal.h>
 
@@ -16,11 +18,8 @@
 #define GRACE_MARGIN_US (300 * CS_US_PER_MS)
 /* The deadlines of requests end this long before that, so that all of them are answered. */
 #define ANSWER_MARGIN_US (300 * CS_US_PER_MS)
-/*
- * A request that arrives after the announcement is taken only if this multiple of its expected
- * service time is left: some take several times as long as expected.
- */
-#define SERVICE_TIME_FACTOR 5
+/* Retry-After if another instance serves clients. */
+#define RETRY_ELSEWHERE_MS 20
 /* Idle connections stay open this long after the listener closes: a request may be in transit. */
 #define IDLE_LINGER_US (1500 * CS_US_PER_MS)
 
@@ -56,6 +55,7 @@
 	cs_event(n->events, CS_EVENT_IMPORTANT, "stop.begin", "requests=%u connections=%u",
 		 cs_ingress_calls(n->ingress), cs_ingress_connections(n->ingress));
 	cs_ingress_disable_keep_alive(n->ingress);
+	requests_limit_to_stop(n);
 	gossip_send_report(n->gossip);
 	registration_withdraw(n->registration);
 	cs_timer_start(n->timers, &n->stop_timer, ANNOUNCE_US);
@@ -67,18 +67,36 @@
 	return n->stop_us + n->settings.termination_grace_ms * CS_US_PER_MS - GRACE_MARGIN_US;
 }
 
-bool stop_take_request(const struct node *n, struct cs_steer_request *req, uint64_t now_us)
+/* Time by which all requests are answered. */
+static uint64_t answered_us(const struct node *n)
 {
-	uint64_t answered_us, needed_us;
+	return end_us(n) - ANSWER_MARGIN_US;
+}
 
-	if (n->stop == STOP_NONE)
-		return true;
-	answered_us = end_us(n) - ANSWER_MARGIN_US;
-	if (req->deadline_us <= answered_us)
+bool stop_limit_request(const struct node *n, struct request *req)
+{
+	if (n->stop == STOP_NONE || req->steer_state.deadline_us <= answered_us(n))
+		return false;
+	req->steer_state.deadline_us = answered_us(n);
+	req->outlasts_process = true;
+	return true;
+}
+
+bool stop_may_send(const struct node *n, const struct request *req)
+{
+	if (!req->outlasts_process)
 		return true;
-	req->deadline_us = answered_us;
-	needed_us = SERVICE_TIME_FACTOR * (uint64_t)cs_steer_expected_time(n->steer, req);
-	return now_us < n->stop_us + ANNOUNCE_US || now_us + needed_us <= answered_us;
+	return cs_repeat_is_allowed(req->repeat) &&
+	       req->steer_state.arrived_us < n->stop_us + ANNOUNCE_US;
+}
+
+unsigned stop_retry_after_ms(const struct node *n)
+{
+	uint64_t now = cs_mono_us(), end = end_us(n);
+
+	if (cs_steer_count_members(n->steer, now) > 1 || now >= end)
+		return RETRY_ELSEWHERE_MS;
+	return (unsigned)((end - now) / CS_US_PER_MS);
 }
 
 static void on_timer(struct cs_timer *t, void *arg)
