proxy: libcurl sends no request a second time

Callers got a 200 for a body of 3 MB of which a server had run only the last part. Cause: libcurl resends by itself what fails on a kept connection. With the POSTFIELDS that an earlier user of the handle had left, it took a streamed body for one in memory and went on where the first send had ended. Other repeatable requests were resent whole, but outside the retry budget, with the time left at the first send and without a line in the log. Change: POSTFIELDS is reset for each transfer, on_prereq() refuses each second send, and the instance decides as after any lost answer. Connections that carried a streamed body are not kept; health checks do not use kept connections, since a dead one would now fail them.

--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -48,9 +48,8 @@
 	bool running; /* added to libcurl */
 	bool event_queued; /* in the list of events */
 	bool stale; /* the kept connection that libcurl chose was unusable */
-	bool resent; /* sent again after a kept connection failed */
 	bool withheld; /* opts.may_send was false */
-	bool resend_aborted; /* libcurl tried to send the request again, which is not allowed */
+	bool resend_aborted; /* libcurl tried to send the request again */
 	uint64_t sent_us; /* time of the last send; 0: unsent */
 	uint64_t key; /* sockets_key of its connection; set when the request is sent */
 	int new_fd; /* new connection that is not yet in sockets, or -1 */
@@ -209,15 +208,25 @@
 	return t;
 }
 
-/* Sets the method and body options. HTTPGET resets those of the previous transfer. */
+/* True if the body is sent while it arrives. */
+static bool is_streamed(const struct cs_transfer_opts *o)
+{
+	return o->body != NULL && !o->body_buffered;
+}
+
+/*
+ * Sets the method and body options. Those of the previous transfer are reset first: with its
+ * POSTFIELDS libcurl would take a streamed body for one that can be sent again from its start.
+ */
 static void set_body(struct cs_transfer *t)
 {
 	const struct cs_transfer_opts *o = &t->opts;
 	CURL *e = t->easy;
 
+	curl_easy_setopt(e, CURLOPT_POSTFIELDS, NULL);
 	curl_easy_setopt(e, CURLOPT_HTTPGET, 1L);
 	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, o->method);
-	if (o->body != NULL && !o->body_buffered) {
+	if (is_streamed(o)) {
 		curl_easy_setopt(e, CURLOPT_UPLOAD, 1L);
 		curl_easy_setopt(e, CURLOPT_INFILESIZE_LARGE,
 				 o->body_length == UINT64_MAX ? (curl_off_t)-1
@@ -246,7 +255,8 @@
 	 * A server may respond before it has read a long body and keep the connection open. If the
 	 * connection were reused, it would read the rest of the body as the next request.
 	 */
-	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, o->bulk || o->own_connection ? 1L : 0L);
+	curl_easy_setopt(e, CURLOPT_FORBID_REUSE,
+			 o->bulk || o->own_connection || is_streamed(o) ? 1L : 0L);
 	set_body(t);
 	curl_easy_setopt(e, CURLOPT_HTTPHEADER, o->lines);
 	t->curl = t->pool->curl[o->bulk ? CONN_POOL_BULK : CONN_POOL_SMALL];
@@ -457,14 +467,16 @@
  * Called when the connection is established and nothing was sent yet. Input on a kept connection
  * belongs to an earlier request, and the end of input means that the server closed it. In both
  * cases the transfer is aborted and restarted on a new connection. libcurl also calls this function
- * before it sends a request again because a kept connection failed.
+ * before it sends a request again because a kept connection failed. That is refused: the server may
+ * have run the request, so whether it is sent again, with how much time left and at whose expense
+ * is for the owner of the transfer to decide.
  */
 static int on_prereq(void *arg, char *dst, char *src, int dst_port, int src_port)
 {
 	struct cs_transfer *t = arg;
 	uint64_t key = sockets_key(dst, dst_port, src, src_port);
 
-	if (t->state != CS_TRANSFER_UNSENT && (t->opts.at_most_once || t->resent)) {
+	if (t->state != CS_TRANSFER_UNSENT) {
 		t->resend_aborted = true;
 		return CURL_PREREQFUNC_ABORT;
 	}
@@ -472,7 +484,6 @@
 		t->withheld = true;
 		return CURL_PREREQFUNC_ABORT;
 	}
-	t->resent = t->state != CS_TRANSFER_UNSENT;
 	t->connection_is_new = t->new_fd >= 0;
 	if (t->new_fd >= 0) {
 		sockets_add(t->pool->sockets, key, t->new_fd);
--- a/src/node/probe.c
+++ b/src/node/probe.c
@@ -25,12 +25,15 @@
 static void probe_start(struct node *n, struct cs_backend *b)
 {
 	struct probe *p = cs_xcalloc(1, sizeof(*p));
-	struct cs_transfer_opts opts = {.addr = cs_backend_addr(b),
-					.port = cs_backend_port(b),
-					.method = "GET",
-					.target = cs_backend_health_path(n->steer, b),
-					.lines = p->headers,
-					.buffer_max = RESPONSE_BUFFER_MAX};
+	struct cs_transfer_opts opts = {
+		.addr = cs_backend_addr(b),
+		.port = cs_backend_port(b),
+		.method = "GET",
+		.target = cs_backend_health_path(n->steer, b),
+		.lines = p->headers,
+		/* That a kept connection fails says nothing about health. */
+		.at_most_once = true,
+		.buffer_max = RESPONSE_BUFFER_MAX};
 
 	p->node = n;
 	p->backend = b;
--- a/tests/unit/test-transfer.c
+++ b/tests/unit/test-transfer.c
@@ -1,6 +1,7 @@
 /* Tests of lib/proxy/transfer.c with a test server on a loopback socket. */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -139,30 +140,91 @@
 	fixture_destroy(&f);
 }
 
+/* Sends a first request with a buffered body; returns the connection, which is kept open. */
+static int open_kept_connection(struct fixture *f)
+{
+	int fd;
+
+	start_transfer(f);
+	run_until(f, CS_TRANSFER_SENT);
+	fd = accept(f->listener, NULL, NULL);
+	ev_run(f->loop, EVRUN_NOWAIT);
+	serve_request(fd, RESPONSE("one", ""));
+	run_until(f, CS_TRANSFER_COMPLETE);
+	return fd;
+}
+
+/* Sends a request on the kept connection, which the server closes without a response. */
+static void fail_on_kept_connection(struct fixture *f, int fd)
+{
+	char buf[2048];
+
+	start_transfer(f);
+	run_until(f, CS_TRANSFER_SENT);
+	ev_run(f->loop, EVRUN_NOWAIT);
+	g_assert_cmpint(recv(fd, buf, sizeof(buf), 0), >, 0);
+	close(fd);
+	run_until(f, CS_TRANSFER_FAILED);
+	/* libcurl may have connected once more, but nothing is sent there. */
+	g_assert_cmpint(fcntl(f->listener, F_SETFL, O_NONBLOCK), ==, 0);
+	fd = accept(f->listener, NULL, NULL);
+	if (fd < 0)
+		return;
+	g_assert_cmpint(recv(fd, buf, sizeof(buf), 0), <=, 0);
+	close(fd);
+}
+
 /* Guards against resending an at-most-once request when its reused connection was closed. */
 static void test_at_most_once_not_resent(void)
 {
 	struct fixture f;
-	int fd;
 
 	fixture_init(&f);
-	start_transfer(&f);
-	run_until(&f, CS_TRANSFER_SENT);
-	fd = accept(f.listener, NULL, NULL);
-	ev_run(f.loop, EVRUN_NOWAIT);
-	serve_request(fd, RESPONSE("one", ""));
-	run_until(&f, CS_TRANSFER_COMPLETE);
-	/* The connection is reused, and the server closes it without a response. */
-	start_transfer(&f);
-	run_until(&f, CS_TRANSFER_SENT);
-	ev_run(f.loop, EVRUN_NOWAIT);
-	{
-		char buf[2048];
+	fail_on_kept_connection(&f, open_kept_connection(&f));
+	fixture_destroy(&f);
+}
 
-		g_assert_cmpint(recv(fd, buf, sizeof(buf), 0), >, 0);
-	}
-	close(fd);
-	run_until(&f, CS_TRANSFER_FAILED);
+/*
+ * Guards against a request that may be repeated and is sent again without the knowledge of its
+ * owner: outside the retry budget, with the time that was left at the first send, and to a server
+ * that may have been withdrawn.
+ */
+static void test_repeatable_not_resent(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	f.opts.at_most_once = false;
+	fail_on_kept_connection(&f, open_kept_connection(&f));
+	fixture_destroy(&f);
+}
+
+/*
+ * Guards against a streamed body that is sent again without its beginning, which was read from the
+ * buffer by the first send, and looks complete in chunked coding.
+ */
+static void test_streamed_body_not_resent(void)
+{
+	struct ring body;
+	bool body_ended = true;
+	struct fixture f;
+	int fd;
+
+	fixture_init(&f);
+	f.opts.at_most_once = false;
+	f.opts.method = "POST";
+	f.opts.body = &body;
+	f.opts.body_ended = &body_ended;
+	ring_init(&body, 4096);
+	ring_write(&body, "first", 5);
+	f.opts.body_buffered = true;
+	f.opts.body_length = 5;
+	fd = open_kept_connection(&f);
+	ring_write(&body, "second", 6);
+	f.opts.body_buffered = false;
+	f.opts.body_length = UINT64_MAX;
+	fail_on_kept_connection(&f, fd);
+	ring_free(&body);
 	fixture_destroy(&f);
 }
 
@@ -266,6 +328,8 @@
 	g_test_add_func("/transfer/refuses-response-to-other-request",
 			test_refuses_response_to_other_request);
 	g_test_add_func("/transfer/at-most-once-not-resent", test_at_most_once_not_resent);
+	g_test_add_func("/transfer/repeatable-not-resent", test_repeatable_not_resent);
+	g_test_add_func("/transfer/streamed-body-not-resent", test_streamed_body_not_resent);
 	g_test_add_func("/transfer/stray-input-prevents-reuse", test_stray_input_prevents_reuse);
 	g_test_add_func("/transfer/refusal-of-earlier-request-not-own",
 			test_refusal_of_earlier_request_not_own);
