steer: an instance that stops owns no cold server

A cold server got 23 to 26 requests in a second, 21.5 allowed, while an instance was stopped. Cause: the others drop a leaving instance from the choice of the owner, but owner_of() began with the instance itself, leaving or not. The stopping owner went on for as long as its clients came, beside its successor. Change: an instance that stops is no candidate from the signal on, unless all live ones leave; then all choose the same one of them. In a fleet beyond a full mesh a new owner waits 2.6 s in place of 1.1 s, since the former one learns from digests. Result: /hand-over/stopping-owner before: "(80 == 0)", 80 requests after the stop; /hand-over/random-series before: "(24 <= 20)".

--- a/lib/steer/limits.c
+++ b/lib/steer/limits.c
@@ -21,6 +21,11 @@
  * previous owner are more than a second old.
  */
 #define COLD_OWNER_HOLD_US (1100 * CS_US_PER_MS)
+/*
+ * The same in a large fleet: a distant instance that was the owner learns from digests, which are
+ * further apart than reports, that this one runs again or stays.
+ */
+#define COLD_OWNER_HOLD_LARGE_US (2600 * CS_US_PER_MS)
 /* Servers count as cold for this much longer, to allow for clock differences and late messages. */
 #define COLD_END_MARGIN_US (200 * CS_US_PER_MS)
 
@@ -83,23 +88,34 @@
 	return cs_hash(pair, sizeof(pair), 0);
 }
 
-/* Instance that sends to a cold server: the one with the highest weight among those alive. */
+/* Instance with the highest weight for a server among those considered. */
+struct candidate {
+	uint32_t name_hash; /* 0: none */
+	uint64_t weight;
+};
+
+static void consider(struct candidate *c, uint32_t name_hash, const struct cs_backend *b)
+{
+	uint64_t weight = limits_owner_weight(name_hash, b->id_hash);
+
+	if (c->name_hash == 0 || weight > c->weight)
+		*c = (struct candidate){.name_hash = name_hash, .weight = weight};
+}
+
+/*
+ * Instance that sends to a cold server: the one with the highest weight among those alive. One that
+ * leaves is no candidate, in its own view and in that of the others, unless all of them leave.
+ */
 static uint32_t owner_of(struct cs_steer *s, const struct cs_backend *b, uint64_t now_us)
 {
-	uint64_t best = limits_owner_weight(s->name_hash, b->id_hash), w;
-	uint32_t owner = s->name_hash;
+	struct candidate staying = {0}, leaving = {0};
 	struct member *m;
 
-	TAILQ_FOREACH(m, &s->members, entry) {
-		if (!member_is_alive(s, m, now_us) || m->info.leaving)
-			continue;
-		w = limits_owner_weight(m->name_hash, b->id_hash);
-		if (w > best) {
-			best = w;
-			owner = m->name_hash;
-		}
-	}
-	return owner;
+	consider(s->leaving ? &leaving : &staying, s->name_hash, b);
+	TAILQ_FOREACH(m, &s->members, entry)
+		if (member_is_alive(s, m, now_us))
+			consider(m->info.leaving ? &leaving : &staying, m->name_hash, b);
+	return staying.name_hash != 0 ? staying.name_hash : leaving.name_hash;
 }
 
 /*
@@ -121,14 +137,25 @@
 	return (uint64_t)((double)CS_US_PER_S / rate);
 }
 
+static uint64_t hold_end_large(uint64_t since_us, uint64_t least_us)
+{
+	uint64_t end = since_us + COLD_OWNER_HOLD_LARGE_US;
+
+	return end > least_us ? end : least_us;
+}
+
 void limits_update_cold_owner(struct cs_steer *s, struct cs_backend *b, uint64_t now_us)
 {
-	uint32_t owner = owner_of(s, b, now_us);
+	uint32_t owner = owner_of(s, b, now_us), before = b->cold_owner;
 
-	if (owner == b->cold_owner)
+	if (owner == before)
 		return;
 	b->cold_owner = owner;
-	b->cold_owner_since_us = now_us;
+	b->cold_hold_until_us = now_us + COLD_OWNER_HOLD_US;
+	/* Before this process, or before this change, another instance may have been the owner. */
+	if (cs_steer_is_large_fleet(s))
+		b->cold_hold_until_us =
+			hold_end_large(before != 0 ? now_us : s->created_us, b->cold_hold_until_us);
 	b->cold_interval_us = b->cold_next_us = 0;
 }
 
@@ -138,7 +165,7 @@
 	uint64_t interval = cold_interval_us(s, b, split), before = b->cold_interval_us;
 
 	limits_update_cold_owner(s, b, now_us);
-	if (b->cold_owner != s->name_hash || now_us - b->cold_owner_since_us < COLD_OWNER_HOLD_US)
+	if (b->cold_owner != s->name_hash || now_us < b->cold_hold_until_us)
 		return false;
 	b->cold_interval_us = interval;
 	if (!split)
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -84,7 +84,7 @@
 	uint64_t cold_interval_us; /* mean time between requests of this instance; 0: not yet known */
 	uint64_t cold_next_us; /* when the next request is due at that rate */
 	uint32_t cold_owner; /* name_hash of the instance that may send to it */
-	uint64_t cold_owner_since_us;
+	uint64_t cold_hold_until_us; /* as its new owner, this instance sends nothing before */
 	/* The server must pass a health check before it is used. */
 	bool needs_probe;
 	bool probing;
@@ -207,7 +207,9 @@
 	struct zone_digest *digests[CS_ZONES_MAX]; /* by zone; NULL: none received */
 	unsigned max_members_seen; /* largest number of instances ever known, this one included */
 	struct cs_rng rng;
-	uint64_t tick_us;
+	uint64_t created_us, tick_us;
+	bool leaving; /* this instance stops */
+	uint64_t leaving_us; /* since then */
 };
 
 /* steer.c */
--- a/lib/steer/steer.c
+++ b/lib/steer/steer.c
@@ -69,7 +69,7 @@
 	RB_INIT(&s->ids);
 	RB_INIT(&s->by_id_hash);
 	cs_rng_seed(&s->rng, opts->seed);
-	s->tick_us = now_us;
+	s->created_us = s->tick_us = now_us;
 	s->max_members_seen = 1;
 	return s;
 }
@@ -103,6 +103,12 @@
 	s->opts.bounds = *bounds;
 }
 
+void cs_steer_set_leaving(struct cs_steer *s, uint64_t now_us)
+{
+	s->leaving = true;
+	s->leaving_us = now_us;
+}
+
 /* Finds a service by name, or returns NULL. */
 static struct cs_steer_service *find_service(const struct cs_steer *s, const char *name)
 {
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -44,6 +44,12 @@
 /* Replaces the limits, as after a reload of the settings. */
 void cs_steer_set_bounds(struct cs_steer *s, const struct cs_steer_bounds *bounds);
 
+/*
+ * This instance stops: it leaves what it does for all instances to those that stay, from this moment
+ * on, as they take over when they learn of it. Without any it goes on.
+ */
+void cs_steer_set_leaving(struct cs_steer *s, uint64_t now_us);
+
 /*
  * Takes ownership of doc. Returns false and destroys it if its version is not newer than the
  * current one.
--- a/src/node/stop.c
+++ b/src/node/stop.c
@@ -55,6 +55,7 @@
 	cs_event(n->events, CS_EVENT_IMPORTANT, "stop.begin", "requests=%u connections=%u",
 		 cs_ingress_calls(n->ingress), cs_ingress_connections(n->ingress));
 	cs_ingress_disable_keep_alive(n->ingress);
+	cs_steer_set_leaving(n->steer, n->stop_us);
 	requests_limit_to_stop(n);
 	gossip_send_report(n->gossip);
 	registration_withdraw(n->registration);
--- a/tests/unit/steer-fleet.c
+++ b/tests/unit/steer-fleet.c
@@ -74,7 +74,13 @@
 {
 	cs_steer_destroy(fleet[i].steer);
 	instance_start(i);
-	fleet[i].dead = false;
+	fleet[i].dead = fleet[i].leaving = false;
+	fleet[i].paused_until_us = 0;
+}
+
+bool fleet_is_running(unsigned i)
+{
+	return !fleet[i].dead && now >= fleet[i].paused_until_us;
 }
 
 void fleet_destroy(void)
@@ -109,7 +115,7 @@
 	uint64_t seq;
 
 	fleet[from].sent_bytes += buf->size;
-	if (fleet[to].dead || cs_rng_below(&rng, 100) < loss_pct)
+	if (!fleet_is_running(to) || cs_rng_below(&rng, 100) < loss_pct)
 		return;
 	g_assert_true(wire_unpack(buf->data, buf->size, &received));
 	if (received.kind == WIRE_REPORT) {
@@ -131,13 +137,27 @@
 	cs_copy(r->name, sizeof(r->name), from->name);
 	r->boot = from->boot;
 	r->seq = ++from->seq;
-	r->ready = true;
+	r->ready = !from->leaving;
+	r->leaving = from->leaving;
 	if (!from->has_feed)
 		return;
 	r->store_fresh = cs_feed_is_fresh(&from->feed, now);
 	r->store_revision = from->feed.revision;
 }
 
+/* Instances that a report goes to: all of the zone if the sender leaves, as in src/node/gossip.c. */
+static unsigned report_targets(unsigned i, const char *out[])
+{
+	unsigned k, n = 0;
+
+	if (!fleet[i].leaving || !cs_steer_is_large_fleet(fleet[i].steer))
+		return cs_steer_report_targets(fleet[i].steer, now, out, TARGETS_MAX);
+	for (k = 0; k < n_fleet; k++)
+		if (k != i && zone_index(k) == zone_index(i) && n < TARGETS_MAX)
+			out[n++] = fleet[k].name;
+	return n;
+}
+
 static void send_report(unsigned i)
 {
 	const char *targets[TARGETS_MAX];
@@ -148,11 +168,27 @@
 	fill_report_header(&fleet[i], &report);
 	cs_steer_build_report(fleet[i].steer, &report, now);
 	wire_pack_report(&buf, &report);
-	n = cs_steer_report_targets(fleet[i].steer, now, targets, TARGETS_MAX);
+	n = report_targets(i, targets);
 	send_all(i, targets, n, &buf);
 	msgpack_sbuffer_destroy(&buf);
 }
 
+void fleet_send_reports(void)
+{
+	unsigned i;
+
+	for (i = 0; i < n_fleet; i++)
+		if (fleet_is_running(i))
+			send_report(i);
+}
+
+void fleet_leave(unsigned i)
+{
+	fleet[i].leaving = true;
+	cs_steer_set_leaving(fleet[i].steer, now);
+	send_report(i);
+}
+
 static void send_digest(unsigned i, enum cs_digest_scope scope)
 {
 	unsigned root_index = cs_steer_rank(fleet[i].steer), n;
@@ -188,7 +224,7 @@
 
 	step++;
 	for (i = 0; i < n_fleet; i++) {
-		if (fleet[i].dead)
+		if (!fleet_is_running(i))
 			continue;
 		cs_steer_tick(fleet[i].steer, now);
 		if ((step + i) % REPORT_STEPS == 0)
--- a/tests/unit/steer-fleet.h
+++ b/tests/unit/steer-fleet.h
@@ -20,6 +20,8 @@
 	struct cs_steer *steer;
 	char name[CS_NAME_MAX];
 	bool dead;
+	bool leaving; /* it stops, and reports so */
+	uint64_t paused_until_us; /* it neither runs nor receives anything until then */
 	bool has_feed; /* it follows a store by feed, and its reports say so */
 	uint64_t boot;
 	uint64_t seq;
@@ -45,6 +47,12 @@
 void fleet_destroy(void);
 /* Replaces the process of an instance by a new one, which knows what the store has. */
 void fleet_restart(unsigned i);
+/* Has an instance stop, which it reports at once; it runs until it is dead or restarted. */
+void fleet_leave(unsigned i);
+/* Has all running instances send a report, as the messages that wait for one that was paused. */
+void fleet_send_reports(void);
+/* True if an instance runs: it is neither dead nor paused. */
+bool fleet_is_running(unsigned i);
 /* Index of the zone of an instance. */
 unsigned zone_index(unsigned i);
 /* Runs all live instances for a step, at whose end now is STEP_US later. */
