steer: instances that stop together do not each take a server's whole limit

Cause: count_eligible() counted the instance itself, leaving or not, and none of the others that leave; with their entries gone each saw itself as the only sender of the region. Change: an instance that leaves is no sender beside others that stay; if all of a region leave, they divide the limit among themselves. Result: /hand-over/limit-all-stop before: "(34 <= 29)" requests in 4 s; passes now.

--- a/lib/steer/server-limit.c
+++ b/lib/steer/server-limit.c
@@ -171,26 +171,36 @@
 	unsigned listed; /* by the store, alive or not */
 	unsigned alive;
 	unsigned before_self; /* of those alive, the ones with a higher rendezvous weight */
+	bool self; /* this instance is one of those alive */
 };
 
+static void add_eligible(struct eligible *e, uint32_t name_hash, const struct cs_backend *b,
+			 uint64_t own_weight)
+{
+	e->alive++;
+	e->before_self += limits_owner_weight(name_hash, b->id_hash) > own_weight;
+}
+
+/* Instances that leave count only if all of the region leave, in the view of each of them. */
 static struct eligible count_eligible(const struct cs_steer *s, const struct cs_backend *b,
 				      unsigned region, uint64_t now_us)
 {
-	unsigned self = region == ALL_REGIONS || s->region == region;
+	bool self = region == ALL_REGIONS || s->region == region;
 	uint64_t own = limits_owner_weight(s->name_hash, b->id_hash);
-	struct eligible e = {.listed = self, .alive = self};
+	struct eligible staying = {.self = self && !s->leaving, .alive = self && !s->leaving};
+	struct eligible leaving = {.self = self && s->leaving, .alive = self && s->leaving};
+	unsigned listed = self;
 	const struct member *m;
 
 	TAILQ_FOREACH(m, &s->members, entry) {
 		if (region != ALL_REGIONS && m->region != region)
 			continue;
-		e.listed += m->listed;
-		if (!member_is_alive(s, m, now_us) || m->info.leaving)
-			continue;
-		e.alive++;
-		e.before_self += limits_owner_weight(m->name_hash, b->id_hash) > own;
+		listed += m->listed;
+		if (member_is_alive(s, m, now_us))
+			add_eligible(m->info.leaving ? &leaving : &staying, m->name_hash, b, own);
 	}
-	return e;
+	staying.listed = leaving.listed = listed;
+	return staying.alive > 0 ? staying : leaving;
 }
 
 /* Largest flow from a region to the server's region. */
@@ -245,6 +255,8 @@
 	if (part <= 0)
 		return 0;
 	e = count_eligible(s, b, region, now_us);
+	if (!e.self)
+		return 0;
 	/*
 	 * An instance that sees less than half of the others may be one of several that count
 	 * themselves as the only senders.
@@ -261,7 +273,8 @@
 {
 	double most;
 
-	if (b->limit_part_us == 0 || now_us - b->limit_part_us >= PART_MAX_AGE_US) {
+	if (b->limit_part_us == 0 || b->limit_part_us < s->leaving_us ||
+	    now_us - b->limit_part_us >= PART_MAX_AGE_US) {
 		b->limit_part_per_s = compute_part(s, b, now_us);
 		b->limit_part_us = now_us;
 	}
--- a/tests/unit/test-hand-over.c
+++ b/tests/unit/test-hand-over.c
@@ -199,6 +199,63 @@
 	}
 }
 
+/* Has an instance learn the limit of the server that it chooses for a request. */
+static void learn_limit(unsigned i, double per_s)
+{
+	struct cs_steer_request req;
+	struct cs_steer_decision d;
+
+	fixture_init_request(fleet[i].steer, &req, 0, now);
+	cs_steer_decide(fleet[i].steer, &req, now, &d);
+	g_assert_cmpint(d.verdict, ==, CS_STEER_SEND);
+	cs_steer_server_limit(fleet[i].steer, d.u.send.backend, per_s, now, now);
+	cs_steer_attempt_ended(fleet[i].steer, &req, d.u.send.backend, CS_STEER_OK, MS(1), now);
+}
+
+/* Largest number of requests that a server got within 4 s. */
+static unsigned most_in_four_seconds(unsigned from_step)
+{
+	unsigned most = 0, sum = 0, step;
+
+	for (step = from_step; step < n_steps; step++) {
+		sum += sends[step][0];
+		if (step >= from_step + 4 * STEPS_PER_S)
+			sum -= sends[step - 4 * STEPS_PER_S][0];
+		most = sum > most ? sum : most;
+	}
+	return most;
+}
+
+/*
+ * Guards against instances that stop together and each take the whole limit of a server for their
+ * own, as each drops the others that leave. Instances 0, 1, 6 and 7 are in the server's region.
+ */
+static void test_limit_all_stop(void)
+{
+	static const unsigned stops[] = {0, 1, 6, 7};
+	const double per_s = 4;
+	unsigned i, k, before;
+
+	memset(sends, 0, sizeof(sends));
+	n_steps = 0;
+	server_zones = 1;
+	fleet_create(12, 1, 0);
+	fleet_run(MS(2000));
+	for (i = 0; i < n_fleet; i++)
+		learn_limit(i, per_s);
+	run(MS(6000));
+	for (i = 0; i < G_N_ELEMENTS(stops); i++)
+		fleet_leave(stops[i]);
+	for (i = 0; i < n_fleet; i++)
+		for (k = 0; k < G_N_ELEMENTS(stops); k++)
+			cs_steer_unlist_member(fleet[i].steer, fleet[stops[k]].name, now);
+	before = n_steps;
+	run(MS(8000));
+	g_assert_cmpfloat(most_in_four_seconds(0), <=, 1.5 * 4 * per_s + 5);
+	g_assert_cmpuint(most_in_four_seconds(before), >, 4);
+	fleet_destroy();
+}
+
 /* What happens next to an instance in a random series. */
 struct fate {
 	uint64_t dies_us, starts_us; /* 0: not planned */
@@ -287,6 +344,7 @@
 	g_test_add_func("/hand-over/stopping-owner", test_stopping_owner);
 	g_test_add_func("/hand-over/all-stop", test_all_stop);
 	g_test_add_func("/hand-over/paused-owner", test_paused_owner);
+	g_test_add_func("/hand-over/limit-all-stop", test_limit_all_stop);
 	g_test_add_func("/hand-over/random-series", test_random_series);
 	return g_test_run();
 }
