node: a stopping process waits until clients have taken their last responses

Reproduced over a relay with a delay: the refusal of an upload whose body still arrives is lost if it is the last response of a stopping process. Cause: the exit waited for requests and open connections, not for those that linger until their clients close them. The kernel resets these at the exit, as input is unread, and what is still on its way is dropped.

--- a/lib/proxy/ingress.c
+++ b/lib/proxy/ingress.c
@@ -119,6 +119,11 @@
 	return g->n_conns;
 }
 
+unsigned cs_ingress_lingering(const struct cs_ingress *g)
+{
+	return cs_linger_count(g->lingers);
+}
+
 /* Enters or leaves the list of idle connections. */
 static void set_idle(struct conn *c, bool idle)
 {
--- a/lib/proxy/ingress.h
+++ b/lib/proxy/ingress.h
@@ -84,6 +84,11 @@
 void cs_ingress_stop_listening(struct cs_ingress *g);
 unsigned cs_ingress_calls(const struct cs_ingress *g);
 unsigned cs_ingress_connections(const struct cs_ingress *g);
+/*
+ * Connections that were closed after their last response and whose clients have not closed them
+ * yet. If the process ended now, a response on its way to them could be lost.
+ */
+unsigned cs_ingress_lingering(const struct cs_ingress *g);
 
 void cs_call_set_data(struct cs_call *call, void *data);
 void *cs_call_data(const struct cs_call *call);
--- a/lib/proxy/linger.c
+++ b/lib/proxy/linger.c
@@ -100,3 +100,8 @@
 	LIST_INSERT_HEAD(&ll->list, c, entry);
 	ll->n++;
 }
+
+unsigned cs_linger_count(const struct cs_linger_list *ll)
+{
+	return ll->n;
+}
--- a/lib/proxy/linger.h
+++ b/lib/proxy/linger.h
@@ -14,5 +14,7 @@
 void cs_linger_list_destroy(struct cs_linger_list *ll);
 /* Discards further input of a connection. The caller still closes fd. */
 void cs_linger_add(struct cs_linger_list *ll, int fd);
+/* Number of connections that are still read. */
+unsigned cs_linger_count(const struct cs_linger_list *ll);
 
 #endif
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -45,8 +45,8 @@
 void cs_steer_set_bounds(struct cs_steer *s, const struct cs_steer_bounds *bounds);
 
 /*
- * This instance stops: it leaves what it does for all instances to those that stay, from this moment
- * on, as they take over when they learn of it. Without any it goes on.
+ * This instance stops: it leaves what it does for all instances to those that stay, from this
+ * moment on, as they take over when they learn of it. Without any it goes on.
  */
 void cs_steer_set_leaving(struct cs_steer *s, uint64_t now_us);
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -160,6 +160,8 @@
 void requests_dispatch(struct node *n);
 /* Limits the requests in progress to the end of a stopping process; refuses those not to be sent. */
 void requests_limit_to_stop(struct node *n);
+/* Logs the requests that the end of the process cuts. */
+void requests_log_cut(struct node *n);
 /* Schedules requests_dispatch for the next turn of the loop. */
 void requests_schedule_dispatch(struct node *n);
 
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -268,6 +268,19 @@
 	}
 }
 
+void requests_log_cut(struct node *n)
+{
+	static const char *const stages[] = {"body", "waiting", "forwarded", "responding"};
+	const struct request *req;
+	uint64_t now = cs_mono_us();
+
+	TAILQ_FOREACH(req, &n->requests, entry)
+		cs_event(n->events, CS_EVENT_IMPORTANT, "request.cut",
+			 "id=%s route=%s stage=%s after_ms=%u sends=%u may_have_run=%d", req->id,
+			 req->route, stages[req->stage], ms_since(req->steer_state.arrived_us, now),
+			 req->n_attempts, request_may_have_run(req));
+}
+
 void request_disconnected(struct request *req)
 {
 	struct node *n = req->node;
--- a/src/node/stop.c
+++ b/src/node/stop.c
@@ -5,7 +5,8 @@
  * is after the end of the process is refused as not run, so that its client can go to another
  * instance: service times have a long tail, and no multiple of their mean is a safe bound. During
  * the announcement one that may be repeated is taken all the same. The process exits when no
- * request is left, or shortly before the platform would kill it.
+ * request is left and all clients have closed their connections, or shortly before the platform
+ * would kill it.
  */
 #include <signal.h>
 
@@ -114,10 +115,14 @@
 	/* A request on one of them would come too late to be taken. */
 	if (since > ANNOUNCE_US + IDLE_LINGER_US)
 		cs_ingress_close_idle(n->ingress);
-	drained = cs_ingress_calls(n->ingress) == 0 && cs_ingress_connections(n->ingress) == 0;
+	drained = cs_ingress_calls(n->ingress) == 0 && cs_ingress_connections(n->ingress) == 0 &&
+		  cs_ingress_lingering(n->ingress) == 0;
 	if (grace_expired || drained) {
-		cs_event(n->events, CS_EVENT_IMPORTANT, "stop.end", "after_ms=%llu requests=%u",
-			 (unsigned long long)(since / CS_US_PER_MS), cs_ingress_calls(n->ingress));
+		requests_log_cut(n);
+		cs_event(n->events, CS_EVENT_IMPORTANT, "stop.end",
+			 "after_ms=%llu requests=%u connections=%u lingering=%u",
+			 (unsigned long long)(since / CS_US_PER_MS), cs_ingress_calls(n->ingress),
+			 cs_ingress_connections(n->ingress), cs_ingress_lingering(n->ingress));
 		ev_break(n->loop, EVBREAK_ALL);
 		return;
 	}
--- a/tests/standins/platform/server.c
+++ b/tests/standins/platform/server.c
@@ -1,6 +1,7 @@
 /*
  * Backend servers of the platform. In the query of a request, mode selects a fault, at limits the
- * fault to one server, ms sets the service time, and with the mode shed, retry sets Retry-After.
+ * fault to one server, ms sets the service time, bytes the size of the response, and with the mode
+ * shed, retry sets Retry-After.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,7 +11,8 @@
 #include "tests/standins/platform/platform.h"
 
 #define BODY_MAX_BYTES (4 * 1024 * 1024)
-#define SLOTS 4
+/* Slots of a server, unless the environment variable SLOTS sets them. */
+#define SLOTS_DEFAULT 4
 
 /* One execution of an attempt. */
 struct run {
@@ -33,6 +35,13 @@
 };
 static LIST_HEAD(, server) servers = LIST_HEAD_INITIALIZER(servers);
 
+static int slots(void)
+{
+	const char *text = getenv("SLOTS");
+
+	return text != NULL ? atoi(text) : SLOTS_DEFAULT;
+}
+
 /* A request that is executing. */
 struct request {
 	struct server *server;
@@ -120,7 +129,7 @@
 		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
 		 "\"slots\":%d,\"state\":\"%s\",\"cold-remaining-ms\":0,\"sequence\":%u,"
 		 "\"born\":1000}",
-		 s->service, s->addr, s->zone, SLOTS, state, ++s->sequence);
+		 s->service, s->addr, s->zone, slots(), state, ++s->sequence);
 	store_write(s->store, key, value);
 }
 
@@ -147,7 +156,7 @@
 {
 	char load[48];
 
-	snprintf(load, sizeof(load), "%u,0,%d,100", s->running, SLOTS);
+	snprintf(load, sizeof(load), "%u,0,%d,100", s->running, slots());
 	cs_http_add_header(req, "Cassiascale-Server-Load", load);
 	cs_http_add_header(req, "Cassiascale-Instance-Id", s->id);
 	if (*s->header_value != '\0')
@@ -161,13 +170,17 @@
 	struct request *r = arg;
 	struct server *s = r->server;
 	const char *id = cs_http_header(r->req, "Cassiascale-Attempt-Id");
-	char body[256];
-	size_t len;
+	const char *bytes = cs_http_query_arg(r->req, "bytes");
+	static char body[BODY_MAX_BYTES];
+	size_t len, size = bytes ? strtoull(bytes, NULL, 10) : 0;
 
 	s->running--;
-	snprintf(body, sizeof(body), "server=%s path=%s id=%s", s->id, cs_http_path(r->req),
-		 id ? id : "-");
+	snprintf(body, 256, "server=%s path=%s id=%s", s->id, cs_http_path(r->req), id ? id : "-");
 	len = strlen(body);
+	if (size > len && size <= sizeof(body)) {
+		memset(body + len, '.', size - len);
+		len = size;
+	}
 	add_common_headers(s, r->req, strcmp(r->mode, "wrong-id") == 0 ? "another" : id);
 	if (strcmp(r->mode, "no-signature") != 0)
 		cs_http_add_header(r->req, "Cassiascale-Response-Signature", "3e1b.07.5a2");
--- a/tests/unit/steer-fleet.h
+++ b/tests/unit/steer-fleet.h
@@ -21,8 +21,8 @@
 	char name[CS_NAME_MAX];
 	bool dead;
 	bool leaving; /* it stops, and reports so */
-	uint64_t paused_until_us; /* it neither runs nor receives anything until then */
 	bool has_feed; /* it follows a store by feed, and its reports say so */
+	uint64_t paused_until_us; /* it neither runs nor receives anything until then */
 	uint64_t boot;
 	uint64_t seq;
 	uint64_t next_digest_us[2]; /* by scope */
