node: log which instance owns a cold server

Change: server.cold_owner when an instance becomes the owner or ceases to be; /hand-over/stopping-owner checks both. test-base names the parameters of its clock_gettime as the header does, for clang-tidy.

--- a/lib/steer/limits.c
+++ b/lib/steer/limits.c
@@ -151,6 +151,10 @@
 	if (owner == before)
 		return;
 	b->cold_owner = owner;
+	if (owner == s->name_hash || before == s->name_hash) {
+		b->cold_owner_unlogged = true;
+		s->n_cold_owners_unlogged++;
+	}
 	b->cold_hold_until_us = now_us + COLD_OWNER_HOLD_US;
 	/* Before this process, or before this change, another instance may have been the owner. */
 	if (cs_steer_is_large_fleet(s))
@@ -159,6 +163,28 @@
 	b->cold_interval_us = b->cold_next_us = 0;
 }
 
+struct cs_backend *cs_steer_next_cold_owner_change(struct cs_steer *s)
+{
+	struct cs_steer_service *svc;
+	struct cs_backend *b;
+
+	if (s->n_cold_owners_unlogged == 0)
+		return NULL;
+	FOREACH_BACKEND(s, svc, b) {
+		if (!b->cold_owner_unlogged)
+			continue;
+		b->cold_owner_unlogged = false;
+		return b;
+	}
+	s->n_cold_owners_unlogged = 0;
+	return NULL;
+}
+
+bool cs_steer_owns_cold(const struct cs_steer *s, const struct cs_backend *b)
+{
+	return b->cold_owner == s->name_hash;
+}
+
 bool limits_allow_cold(struct cs_steer *s, struct cs_backend *b, uint64_t now_us)
 {
 	bool split = may_be_split(s, now_us);
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -84,6 +84,7 @@
 	uint64_t cold_interval_us; /* mean time between requests of this instance; 0: not yet known */
 	uint64_t cold_next_us; /* when the next request is due at that rate */
 	uint32_t cold_owner; /* name_hash of the instance that may send to it */
+	bool cold_owner_unlogged; /* this instance became its owner, or ceased to be */
 	uint64_t cold_hold_until_us; /* as its new owner, this instance sends nothing before */
 	/* The server must pass a health check before it is used. */
 	bool needs_probe;
@@ -200,6 +201,7 @@
 	unsigned leaving_reported; /* position after the last leaving server that was reported */
 	unsigned n_leaving_unlogged; /* servers for cs_steer_next_reported_leaving */
 	struct backend_list limited; /* servers whose limit_us is not 0 */
+	unsigned n_cold_owners_unlogged; /* servers for cs_steer_next_cold_owner_change */
 	unsigned n_limits_unlogged; /* servers for cs_steer_next_reported_limit */
 	struct member_list members;
 	unsigned n_members; /* length of members */
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -249,6 +249,13 @@
 unsigned cs_steer_count_limited(const struct cs_steer *s);
 /* Requests per second that this instance may send to all of them together. */
 double cs_steer_limit_parts(const struct cs_steer *s);
+/*
+ * Next cold server of which this instance became the owner, the one that may send to it, or ceased
+ * to be; NULL if none.
+ */
+struct cs_backend *cs_steer_next_cold_owner_change(struct cs_steer *s);
+/* True if this instance is the owner of a server that is or was cold. */
+bool cs_steer_owns_cold(const struct cs_steer *s, const struct cs_backend *b);
 /* Marks a server as cold for another cold_ms, which the server reported. */
 void cs_steer_mark_cold(struct cs_steer *s, struct cs_backend *b, unsigned cold_ms,
 			uint64_t now_us);
--- a/src/node/notice.c
+++ b/src/node/notice.c
@@ -33,6 +33,11 @@
 {
 	const struct cs_backend *b;
 
+	while ((b = cs_steer_next_cold_owner_change(n->steer)) != NULL)
+		cs_event(n->events, CS_EVENT_IMPORTANT, "server.cold_owner",
+			 "server=%s owner=%d members=%u", cs_backend_id(b),
+			 cs_steer_owns_cold(n->steer, b),
+			 cs_steer_count_members(n->steer, cs_mono_us()));
 	while ((b = cs_steer_next_reported_limit(n->steer)) != NULL)
 		cs_event(n->events, CS_EVENT_IMPORTANT, "server.limit",
 			 "server=%s source=%s reporter=%s limit_per_s=%.2f", cs_backend_id(b),
--- a/tests/unit/test-base.c
+++ b/tests/unit/test-base.c
@@ -12,12 +12,12 @@
 static time_t suspended_s;
 
 /* Replaces the function of the C library. */
-int clock_gettime(clockid_t id, struct timespec *ts)
+int clock_gettime(clockid_t __clock_id, struct timespec *__tp)
 {
-	int rc = (int)syscall(SYS_clock_gettime, id, ts);
+	int rc = (int)syscall(SYS_clock_gettime, __clock_id, __tp);
 
-	if (id == CLOCK_BOOTTIME)
-		ts->tv_sec += suspended_s;
+	if (__clock_id == CLOCK_BOOTTIME)
+		__tp->tv_sec += suspended_s;
 	return rc;
 }
 
--- a/tests/unit/test-hand-over.c
+++ b/tests/unit/test-hand-over.c
@@ -140,6 +140,19 @@
 	return owner;
 }
 
+/* True if all cold servers whose owner changed at an instance are, or are no longer, its own. */
+static bool reports_owner_change(unsigned i, bool own)
+{
+	struct cs_backend *b;
+	unsigned n = 0, matching = 0;
+
+	while ((b = cs_steer_next_cold_owner_change(fleet[i].steer)) != NULL) {
+		n++;
+		matching += cs_steer_owns_cold(fleet[i].steer, b) == own;
+	}
+	return n > 0 && matching == n;
+}
+
 /*
  * Guards against an instance that stops and goes on sending to the cold servers that it owned,
  * while those that know of the stop have a new owner for them.
@@ -152,11 +165,13 @@
 	run(MS(4000));
 	owner = find_owner();
 	g_assert_cmpuint(sends_of[owner], >, 0);
+	g_assert_true(reports_owner_change(owner, true));
 	fleet_leave(owner);
 	before = n_steps;
 	sends_of[owner] = 0;
 	run(MS(5000));
 	g_assert_cmpuint(sends_of[owner], ==, 0);
+	g_assert_true(reports_owner_change(owner, false));
 	g_assert_cmpuint(most_in_one_second(), <=, COLD_MAX);
 	g_assert_cmpuint(sum_sends(before), >, 0);
 	fleet_destroy();
