--- a/lib/steer/limits.c
+++ b/lib/steer/limits.c
@@ -137,11 +137,18 @@
 	return (uint64_t)((double)CS_US_PER_S / rate);
 }
 
-static uint64_t hold_end_large(uint64_t since_us, uint64_t least_us)
+/*
+ * Time until which a new owner of a cold server sends it nothing. In a large fleet another instance
+ * may have been the owner before this process began, and not have learned of it yet.
+ */
+static uint64_t hold_end(const struct cs_steer *s, bool owner_was_known, uint64_t now_us)
 {
-	uint64_t end = since_us + COLD_OWNER_HOLD_LARGE_US;
+	uint64_t end = now_us + COLD_OWNER_HOLD_US, end_large;
 
-	return end > least_us ? end : least_us;
+	if (!cs_steer_is_large_fleet(s))
+		return end;
+	end_large = (owner_was_known ? now_us : s->created_us) + COLD_OWNER_HOLD_LARGE_US;
+	return end_large > end ? end_large : end;
 }
 
 void limits_update_cold_owner(struct cs_steer *s, struct cs_backend *b, uint64_t now_us)
@@ -155,11 +162,7 @@
 		b->cold_owner_unlogged = true;
 		s->n_cold_owners_unlogged++;
 	}
-	b->cold_hold_until_us = now_us + COLD_OWNER_HOLD_US;
-	/* Before this process, or before this change, another instance may have been the owner. */
-	if (cs_steer_is_large_fleet(s))
-		b->cold_hold_until_us =
-			hold_end_large(before != 0 ? now_us : s->created_us, b->cold_hold_until_us);
+	b->cold_hold_until_us = hold_end(s, before != 0, now_us);
 	b->cold_interval_us = b->cold_next_us = 0;
 }
 
