--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -67,10 +67,6 @@
 /* Copies a string, truncated to size and always terminated; returns true if it was not truncated. */
 bool cs_copy(char *dst, size_t size, const char *src);
 
-/*
- * Clock that never steps, and that counts the time in which the machine was suspended: what others
- * granted for a time has run out meanwhile.
- */
 uint64_t cs_mono_us(void);
 /* Wall clock in ms since 1970; only for deadlines set by operators and for records. */
 int64_t cs_wall_ms(void);
--- a/lib/base/util.c
+++ b/lib/base/util.c
@@ -82,7 +82,7 @@
 {
 	struct timespec ts;
 
-	clock_gettime(CLOCK_BOOTTIME, &ts);
+	clock_gettime(CLOCK_MONOTONIC, &ts);
 	return (uint64_t)ts.tv_sec * CS_US_PER_S + (uint64_t)ts.tv_nsec / 1000;
 }
 
--- a/src/load/main.c
+++ b/src/load/main.c
@@ -135,7 +135,7 @@
 		if (s->rate > 0)
 			s->next_us = load.start_us + s->from_us + draw_interarrival_us(s);
 	}
-	pacing_fd = timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
+	pacing_fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
 	ev_io_init(&pacing_io, on_pacing_timer, pacing_fd, EV_READ);
 	ev_io_start(load.loop, &pacing_io);
 	pacing_arm(load.start_us + 1);
--- a/tests/standins/links/relay.c
+++ b/tests/standins/links/relay.c
@@ -423,7 +423,7 @@
 {
 	struct listener *l;
 
-	timer_fd = timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
+	timer_fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
 	ev_io_init(&timer_io, on_timer, timer_fd, EV_READ);
 	ev_io_start(loop, &timer_io);
 	TAILQ_FOREACH(l, &listeners, entry) {
