node: log the connection and the marks of each response that ended an attempt

No decision changes; the table of connections counts the sends of each and numbers them.

test-proxyd: sockets_find() replaces sockets_find_idle(), the checks are the same.

--- a/lib/proxy/sockets.c
+++ b/lib/proxy/sockets.c
@@ -14,6 +14,8 @@
 	LIST_ENTRY(entry) by_fd;
 	uint64_t key;
 	uint64_t last_used_us;
+	uint64_t serial;
+	unsigned sends;
 	int fd;
 };
 
@@ -24,6 +26,7 @@
 struct sockets {
 	struct entry_tree tree;
 	LIST_HEAD(entry_list, entry) by_fd[FD_BUCKETS];
+	uint64_t serial;
 };
 
 static int entry_compare(struct entry *a, struct entry *b);
@@ -79,6 +82,7 @@
 
 	e->key = key;
 	e->fd = fd;
+	e->serial = ++s->serial;
 	e->last_used_us = cs_mono_us();
 	old = RB_FIND(entry_tree, &s->tree, e);
 	if (old != NULL)
@@ -87,19 +91,37 @@
 	LIST_INSERT_HEAD(&s->by_fd[fd % FD_BUCKETS], e, by_fd);
 }
 
-int sockets_find_idle(struct sockets *s, uint64_t key, uint64_t *idle_us)
+static struct entry *entry_find(struct sockets *s, uint64_t key)
 {
-	struct entry probe = {.key = key}, *e = RB_FIND(entry_tree, &s->tree, &probe);
+	struct entry probe = {.key = key};
+
+	return RB_FIND(entry_tree, &s->tree, &probe);
+}
+
+bool sockets_find(struct sockets *s, uint64_t key, struct sockets_use *use)
+{
+	const struct entry *e = entry_find(s, key);
 
 	if (e == NULL)
-		return -1;
-	*idle_us = cs_mono_us() - e->last_used_us;
-	return e->fd;
+		return false;
+	*use = (struct sockets_use){.fd = e->fd,
+				    .serial = e->serial,
+				    .sends = e->sends,
+				    .idle_us = cs_mono_us() - e->last_used_us};
+	return true;
+}
+
+void sockets_count_send(struct sockets *s, uint64_t key)
+{
+	struct entry *e = entry_find(s, key);
+
+	if (e != NULL)
+		e->sends++;
 }
 
 void sockets_touch(struct sockets *s, uint64_t key)
 {
-	struct entry probe = {.key = key}, *e = RB_FIND(entry_tree, &s->tree, &probe);
+	struct entry *e = entry_find(s, key);
 
 	if (e != NULL)
 		e->last_used_us = cs_mono_us();
--- a/lib/proxy/sockets.h
+++ b/lib/proxy/sockets.h
@@ -10,8 +10,17 @@
 /* Hash of the four-tuple of a connection; the addresses are given as text. */
 uint64_t sockets_key(const char *dst, int dst_port, const char *src, int src_port);
 void sockets_add(struct sockets *s, uint64_t key, int fd);
-/* Returns the descriptor or -1; *idle_us is the time since sockets_add or sockets_touch. */
-int sockets_find_idle(struct sockets *s, uint64_t key, uint64_t *idle_us);
+/* State of a connection before a request is sent on it. */
+struct sockets_use {
+	int fd;
+	uint64_t serial; /* unique to the connection within the process */
+	unsigned sends; /* requests sent on it before */
+	uint64_t idle_us; /* time since sockets_add or sockets_touch */
+};
+/* Returns false if the connection is not known. */
+bool sockets_find(struct sockets *s, uint64_t key, struct sockets_use *use);
+/* Counts a request that is sent on the connection. */
+void sockets_count_send(struct sockets *s, uint64_t key);
 /* Restarts the idle time when a request on the connection has ended. */
 void sockets_touch(struct sockets *s, uint64_t key);
 void sockets_remove(struct sockets *s, int fd);
--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -57,7 +57,7 @@
 	bool overflows;
 	unsigned status;
 	bool has_head, bodiless;
-	bool connection_is_new; /* no other request was sent on it */
+	struct sockets_use connection; /* set when the request is sent */
 	bool has_id; /* the response has the id of the request */
 	enum cs_framing framing;
 	uint64_t length;
@@ -361,7 +361,15 @@
 
 bool cs_transfer_is_own_response(const struct cs_transfer *t)
 {
-	return t->has_id || t->connection_is_new;
+	return t->has_id || t->connection.sends == 0;
+}
+
+void cs_transfer_connection(const struct cs_transfer *t, struct cs_transfer_connection *out)
+{
+	*out = (struct cs_transfer_connection){.serial = t->connection.serial,
+					       .earlier_sends = t->connection.sends,
+					       .idle_us = t->connection.idle_us,
+					       .has_id = t->has_id};
 }
 
 unsigned cs_transfer_status(const struct cs_transfer *t)
@@ -453,14 +461,11 @@
 }
 
 /* True if a kept connection may be used for this request. */
-static bool connection_usable(struct cs_transfer *t, uint64_t key)
+static bool connection_usable(const struct cs_transfer *t)
 {
-	uint64_t idle_us = 0;
-	int fd = sockets_find_idle(t->pool->sockets, key, &idle_us);
-
-	if (fd < 0 || sockets_has_input(fd))
+	if (sockets_has_input(t->connection.fd))
 		return false;
-	return !t->opts.at_most_once || idle_us <= AT_MOST_ONCE_IDLE_MAX_US;
+	return !t->opts.at_most_once || t->connection.idle_us <= AT_MOST_ONCE_IDLE_MAX_US;
 }
 
 /*
@@ -475,6 +480,7 @@
 {
 	struct cs_transfer *t = arg;
 	uint64_t key = sockets_key(dst, dst_port, src, src_port);
+	bool is_new;
 
 	if (t->state != CS_TRANSFER_UNSENT) {
 		t->resend_aborted = true;
@@ -484,14 +490,16 @@
 		t->withheld = true;
 		return CURL_PREREQFUNC_ABORT;
 	}
-	t->connection_is_new = t->new_fd >= 0;
-	if (t->new_fd >= 0) {
+	if (t->new_fd >= 0)
 		sockets_add(t->pool->sockets, key, t->new_fd);
-		t->new_fd = -1;
-	} else if (!connection_usable(t, key)) {
+	is_new = t->new_fd >= 0;
+	t->new_fd = -1;
+	if (!sockets_find(t->pool->sockets, key, &t->connection) ||
+	    (!is_new && !connection_usable(t))) {
 		t->stale = true;
 		return CURL_PREREQFUNC_ABORT;
 	}
+	sockets_count_send(t->pool->sockets, key);
 	t->key = key;
 	t->state = CS_TRANSFER_SENT;
 	t->sent_us = cs_mono_us();
--- a/lib/proxy/transfer.h
+++ b/lib/proxy/transfer.h
@@ -80,6 +80,14 @@
  * else was sent on its connection.
  */
 bool cs_transfer_is_own_response(const struct cs_transfer *t);
+/* The connection that the request was sent on, for logs. */
+struct cs_transfer_connection {
+	uint64_t serial; /* 0: not sent */
+	unsigned earlier_sends; /* requests sent on it before this one */
+	uint64_t idle_us; /* how long it had been idle */
+	bool has_id; /* the response has the id of the request */
+};
+void cs_transfer_connection(const struct cs_transfer *t, struct cs_transfer_connection *out);
 unsigned cs_transfer_status(const struct cs_transfer *t);
 const struct head *cs_transfer_head(const struct cs_transfer *t);
 enum cs_framing cs_transfer_framing(const struct cs_transfer *t);
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -406,11 +406,19 @@
 {
 	struct node *n = req->node;
 	bool may_have_run = outcome == CS_STEER_ERROR;
+	const struct head *h = cs_transfer_head(a->transfer);
+	struct cs_transfer_connection conn;
 
+	cs_transfer_connection(a->transfer, &conn);
 	cs_event(n->events, CS_EVENT_IMPORTANT, "send.failed",
-		 "id=%s route=%s server=%s outcome=%s after_ms=%u why=\"%s\"", req->id, req->route,
-		 a->server, cs_steer_outcome_name(outcome), ms_since(a->started_us, cs_mono_us()),
-		 why);
+		 "id=%s route=%s server=%s outcome=%s after_ms=%u why=\"%s\" connection=%llu "
+		 "earlier_sends=%u idle_ms=%llu status=%u has_id=%d not_executed=%d signature=%d",
+		 req->id, req->route, a->server, cs_steer_outcome_name(outcome),
+		 ms_since(a->started_us, cs_mono_us()), why, (unsigned long long)conn.serial,
+		 conn.earlier_sends, (unsigned long long)(conn.idle_us / CS_US_PER_MS),
+		 cs_transfer_status(a->transfer), conn.has_id,
+		 head_get(h, PLATFORM_H_NOT_EXECUTED) != NULL,
+		 head_get(h, PLATFORM_H_SIGNATURE) != NULL);
 	if (may_have_run)
 		req->may_have_run = true;
 	node_attempt_end(a, outcome);
--- a/tests/unit/test-proxyd.c
+++ b/tests/unit/test-proxyd.c
@@ -235,22 +235,23 @@
 	struct sockets *s = sockets_create();
 	uint64_t a = sockets_key("127.0.0.1", 80, "127.0.0.2", 4000);
 	uint64_t b = sockets_key("127.0.0.1", 81, "127.0.0.2", 4000);
-	uint64_t idle = UINT64_MAX;
+	struct sockets_use use = {.fd = -1, .idle_us = UINT64_MAX};
 	int pair[2];
 
 	g_assert_true(a != b);
 	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, pair), ==, 0);
 	sockets_add(s, a, pair[0]);
-	g_assert_cmpint(sockets_find_idle(s, a, &idle), ==, pair[0]);
-	g_assert_cmpuint(idle, <, CS_US_PER_S);
-	g_assert_cmpint(sockets_find_idle(s, b, &idle), ==, -1);
+	g_assert_true(sockets_find(s, a, &use));
+	g_assert_cmpint(use.fd, ==, pair[0]);
+	g_assert_cmpuint(use.idle_us, <, CS_US_PER_S);
+	g_assert_false(sockets_find(s, b, &use));
 	g_assert_false(sockets_has_input(pair[0]));
 	g_assert_cmpint(write(pair[1], "x", 1), ==, 1);
 	g_assert_true(sockets_has_input(pair[0]));
 	close(pair[1]);
 	g_assert_true(sockets_has_input(pair[0]));
 	sockets_remove(s, pair[0]);
-	g_assert_cmpint(sockets_find_idle(s, a, &idle), ==, -1);
+	g_assert_false(sockets_find(s, a, &use));
 	close(pair[0]);
 	sockets_destroy(s);
 }
