tests: the late copy of a refusal is taken for a second one

A request that was refused is sent again over the same connection, the server sends the copy of its refusal, which has the id of the request, and the transfer reports a refusal while the server runs the request.

--- a/tests/unit/test-transfer.c
+++ b/tests/unit/test-transfer.c
@@ -290,6 +290,49 @@
 	fixture_destroy(&f);
 }
 
+/*
+ * Guards against the copy of a refusal that arrives late, while the refused request is being sent
+ * again, and is taken for a second refusal.
+ */
+static void check_late_copy_of_refusal(bool at_most_once)
+{
+	static const char refusal[] = "HTTP/1.1 503 No\r\nX-Id: one\r\nContent-Length: 0\r\n\r\n";
+	struct fixture f;
+	int fd, new_fd;
+
+	fixture_init(&f);
+	f.opts.at_most_once = at_most_once;
+	start_transfer(&f);
+	run_until(&f, CS_TRANSFER_SENT);
+	fd = accept(f.listener, NULL, NULL);
+	ev_run(f.loop, EVRUN_NOWAIT);
+	serve_request(fd, refusal);
+	run_until(&f, CS_TRANSFER_COMPLETE);
+	g_assert_cmpint(fcntl(f.listener, F_SETFL, O_NONBLOCK), ==, 0);
+	start_transfer(&f);
+	run_until(&f, CS_TRANSFER_SENT);
+	ev_run(f.loop, EVRUN_NOWAIT);
+	send(fd, refusal, strlen(refusal), MSG_NOSIGNAL);
+	new_fd = accept(f.listener, NULL, NULL);
+	if (new_fd >= 0)
+		serve_request(new_fd, RESPONSE("one", ""));
+	run_until(&f, CS_TRANSFER_COMPLETE);
+	g_assert_cmpuint(cs_transfer_status(f.transfer), ==, 200);
+	close(fd);
+	close(new_fd);
+	fixture_destroy(&f);
+}
+
+static void test_late_copy_of_refusal(void)
+{
+	check_late_copy_of_refusal(true);
+}
+
+static void test_late_copy_of_refusal_repeatable(void)
+{
+	check_late_copy_of_refusal(false);
+}
+
 /* Guards against a head that ends early and is taken for a complete response. */
 static void test_cut_head_fails(void)
 {
@@ -333,6 +376,9 @@
 	g_test_add_func("/transfer/stray-input-prevents-reuse", test_stray_input_prevents_reuse);
 	g_test_add_func("/transfer/refusal-of-earlier-request-not-own",
 			test_refusal_of_earlier_request_not_own);
+	g_test_add_func("/transfer/late-copy-of-refusal", test_late_copy_of_refusal);
+	g_test_add_func("/transfer/late-copy-of-refusal-repeatable",
+			test_late_copy_of_refusal_repeatable);
 	g_test_add_func("/transfer/cut-head-fails", test_cut_head_fails);
 	return g_test_run();
 }
