proxy: an id is sent on one connection only once

Cause: a server may send a response twice, the second one late. The transfer tells a copy by its id, but the id of a request that is sent again is that of its own earlier refusal. Nothing kept the second send off the connection of the first: a back-off of 100 ms and an idle time of at most 100 ms, in two libraries, met by chance, and only for requests that may run once and after a 503 or 429.

Change: the table of connections remembers the ids that were sent on each, as hashes. A request whose id was sent on the chosen connection before goes over a new one. Requests without an id share the empty one. A connection is replaced after 64 requests, so that all of its ids are remembered. A response with an id is never that to a request without one.

Why it works: a copy arrives on the connection of its original, so on each connection the id tells which request a response belongs to, whatever the delay of the copy and however soon the request is sent again.

test-transfer: requests that follow each other on a connection have different ids now, as real ones have; the checks are the same.

--- a/lib/proxy/sockets.c
+++ b/lib/proxy/sockets.c
@@ -2,6 +2,10 @@
  * Maps four-tuples to descriptors of open connections to servers. libcurl does not check an idle
  * connection for input before it reuses it. That check needs the descriptor, but the callback that
  * libcurl calls before it sends a request identifies the connection only by addresses and ports.
+ *
+ * Each entry also has the ids of the requests that were sent on its connection. A server may send a
+ * response twice, the second one late. The id tells the copy from the response to another request,
+ * so no id may be sent on one connection twice.
  */
 #include <stdlib.h>
 #include <sys/socket.h>
@@ -9,6 +13,12 @@
 
 #include "proxy/sockets.h"
 
+/*
+ * Requests that one connection carries at most, so that the ids of all of them can be remembered. A
+ * busy connection is then replaced.
+ */
+#define SENDS_MAX 64
+
 struct entry {
 	RB_ENTRY(entry) by_key;
 	LIST_ENTRY(entry) by_fd;
@@ -16,6 +26,7 @@
 	uint64_t last_used_us;
 	uint64_t serial;
 	unsigned sends;
+	uint32_t ids[SENDS_MAX]; /* hashes of the ids */
 	int fd;
 };
 
@@ -98,7 +109,22 @@
 	return RB_FIND(entry_tree, &s->tree, &probe);
 }
 
-bool sockets_find(struct sockets *s, uint64_t key, struct sockets_use *use)
+static uint32_t id_hash(const char *id)
+{
+	return (uint32_t)cs_hash_str(id, 0);
+}
+
+static bool id_used(const struct entry *e, uint32_t hash)
+{
+	unsigned i;
+
+	for (i = 0; i < e->sends; i++)
+		if (e->ids[i] == hash)
+			return true;
+	return e->sends == SENDS_MAX;
+}
+
+bool sockets_find(struct sockets *s, uint64_t key, const char *id, struct sockets_use *use)
 {
 	const struct entry *e = entry_find(s, key);
 
@@ -107,16 +133,17 @@
 	*use = (struct sockets_use){.fd = e->fd,
 				    .serial = e->serial,
 				    .sends = e->sends,
-				    .idle_us = cs_mono_us() - e->last_used_us};
+				    .idle_us = cs_mono_us() - e->last_used_us,
+				    .id_used = id_used(e, id_hash(id))};
 	return true;
 }
 
-void sockets_count_send(struct sockets *s, uint64_t key)
+void sockets_record_send(struct sockets *s, uint64_t key, const char *id)
 {
 	struct entry *e = entry_find(s, key);
 
-	if (e != NULL)
-		e->sends++;
+	if (e != NULL && e->sends < SENDS_MAX)
+		e->ids[e->sends++] = id_hash(id);
 }
 
 void sockets_touch(struct sockets *s, uint64_t key)
--- a/lib/proxy/sockets.h
+++ b/lib/proxy/sockets.h
@@ -16,11 +16,15 @@
 	uint64_t serial; /* unique to the connection within the process */
 	unsigned sends; /* requests sent on it before */
 	uint64_t idle_us; /* time since sockets_add or sockets_touch */
+	bool id_used; /* a request with this id was sent on it, or it takes no more requests */
 };
-/* Returns false if the connection is not known. */
-bool sockets_find(struct sockets *s, uint64_t key, struct sockets_use *use);
-/* Counts a request that is sent on the connection. */
-void sockets_count_send(struct sockets *s, uint64_t key);
+/*
+ * Returns false if the connection is not known. id is that of the request to send; requests without
+ * an id share the empty one.
+ */
+bool sockets_find(struct sockets *s, uint64_t key, const char *id, struct sockets_use *use);
+/* Records a request that is sent on the connection. */
+void sockets_record_send(struct sockets *s, uint64_t key, const char *id);
 /* Restarts the idle time when a request on the connection has ended. */
 void sockets_touch(struct sockets *s, uint64_t key);
 void sockets_remove(struct sockets *s, int fd);
--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -208,6 +208,11 @@
 	return t;
 }
 
+static const char *request_id(const struct cs_transfer *t)
+{
+	return t->opts.id != NULL ? t->opts.id : "";
+}
+
 /* True if the body is sent while it arrives. */
 static bool is_streamed(const struct cs_transfer_opts *o)
 {
@@ -463,7 +468,7 @@
 /* True if a kept connection may be used for this request. */
 static bool connection_usable(const struct cs_transfer *t)
 {
-	if (sockets_has_input(t->connection.fd))
+	if (t->connection.id_used || sockets_has_input(t->connection.fd))
 		return false;
 	return !t->opts.at_most_once || t->connection.idle_us <= AT_MOST_ONCE_IDLE_MAX_US;
 }
@@ -471,7 +476,8 @@
 /*
  * Called when the connection is established and nothing was sent yet. Input on a kept connection
  * belongs to an earlier request, and the end of input means that the server closed it. In both
- * cases the transfer is aborted and restarted on a new connection. libcurl also calls this function
+ * cases, and if a request with the same id was sent on the connection before, the transfer is
+ * aborted and restarted on a new connection. libcurl also calls this function
  * before it sends a request again because a kept connection failed. That is refused: the server may
  * have run the request, so whether it is sent again, with how much time left and at whose expense
  * is for the owner of the transfer to decide.
@@ -494,12 +500,12 @@
 		sockets_add(t->pool->sockets, key, t->new_fd);
 	is_new = t->new_fd >= 0;
 	t->new_fd = -1;
-	if (!sockets_find(t->pool->sockets, key, &t->connection) ||
+	if (!sockets_find(t->pool->sockets, key, request_id(t), &t->connection) ||
 	    (!is_new && !connection_usable(t))) {
 		t->stale = true;
 		return CURL_PREREQFUNC_ABORT;
 	}
-	sockets_count_send(t->pool->sockets, key);
+	sockets_record_send(t->pool->sockets, key, request_id(t));
 	t->key = key;
 	t->state = CS_TRANSFER_SENT;
 	t->sent_us = cs_mono_us();
@@ -536,7 +542,7 @@
 	const char *coding = head_get(&t->head, "Transfer-Encoding");
 	const char *id = t->opts.id_name ? head_get(&t->head, t->opts.id_name) : NULL;
 
-	if (id != NULL && strcmp(id, t->opts.id) != 0) {
+	if (id != NULL && strcmp(id, request_id(t)) != 0) {
 		t->error = "response belongs to another request";
 		return false;
 	}
--- a/lib/proxy/transfer.h
+++ b/lib/proxy/transfer.h
@@ -42,7 +42,7 @@
 	const char *target; /* as sent in the request line */
 	struct curl_slist *lines; /* header lines; valid until the end of the transfer */
 	const char *id_name; /* header that a server returns unchanged in its response; NULL: none */
-	const char *id; /* value of that header */
+	const char *id; /* value of that header; NULL or empty: sent without one */
 	struct ring *body; /* NULL: no body */
 	bool body_buffered; /* the complete body is in the ring and stays there */
 	uint64_t body_length; /* UINT64_MAX: unknown, sent in chunks */
@@ -76,8 +76,8 @@
 /* True once the response headers were received. */
 bool cs_transfer_has_head(const struct cs_transfer *t);
 /*
- * True if the response cannot belong to an earlier request: it has the id of this one, or nothing
- * else was sent on its connection.
+ * True if the response cannot belong to an earlier request: it has the id of this one, which is
+ * sent on one connection only once, or nothing else was sent on its connection.
  */
 bool cs_transfer_is_own_response(const struct cs_transfer *t);
 /* The connection that the request was sent on, for logs. */
--- a/tests/unit/test-proxyd.c
+++ b/tests/unit/test-proxyd.c
@@ -241,17 +241,17 @@
 	g_assert_true(a != b);
 	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, pair), ==, 0);
 	sockets_add(s, a, pair[0]);
-	g_assert_true(sockets_find(s, a, &use));
+	g_assert_true(sockets_find(s, a, "x", &use));
 	g_assert_cmpint(use.fd, ==, pair[0]);
 	g_assert_cmpuint(use.idle_us, <, CS_US_PER_S);
-	g_assert_false(sockets_find(s, b, &use));
+	g_assert_false(sockets_find(s, b, "x", &use));
 	g_assert_false(sockets_has_input(pair[0]));
 	g_assert_cmpint(write(pair[1], "x", 1), ==, 1);
 	g_assert_true(sockets_has_input(pair[0]));
 	close(pair[1]);
 	g_assert_true(sockets_has_input(pair[0]));
 	sockets_remove(s, pair[0]);
-	g_assert_false(sockets_find(s, a, &use));
+	g_assert_false(sockets_find(s, a, "x", &use));
 	close(pair[0]);
 	sockets_destroy(s);
 }
--- a/tests/unit/test-transfer.c
+++ b/tests/unit/test-transfer.c
@@ -20,6 +20,7 @@
 	struct cs_transfer *transfer;
 	int listener;
 	uint16_t port;
+	char id_line[32];
 	struct curl_slist header;
 	struct cs_transfer_opts opts;
 };
@@ -28,6 +29,13 @@
 {
 }
 
+/* Sets the id of the requests that are started from now on. */
+static void set_id(struct fixture *f, const char *id)
+{
+	f->opts.id = id;
+	snprintf(f->id_line, sizeof(f->id_line), "X-Id: %s", id);
+}
+
 static void fixture_init(struct fixture *f)
 {
 	struct sockaddr_in sa = {.sin_family = AF_INET};
@@ -43,16 +51,16 @@
 	g_assert_cmpint(listen(f->listener, 8), ==, 0);
 	g_assert_cmpint(getsockname(f->listener, (struct sockaddr *)&sa, &len), ==, 0);
 	f->port = ntohs(sa.sin_port);
-	f->header.data = (char *)(uintptr_t) "X-Id: one";
+	f->header.data = f->id_line;
 	f->opts = (struct cs_transfer_opts){.addr = "127.0.0.1",
 					    .port = f->port,
 					    .method = "GET",
 					    .target = "/x",
 					    .lines = &f->header,
 					    .id_name = "X-Id",
-					    .id = "one",
 					    .at_most_once = true,
 					    .buffer_max = 4096};
+	set_id(f, "one");
 }
 
 static void fixture_destroy(struct fixture *f)
@@ -154,11 +162,12 @@
 	return fd;
 }
 
-/* Sends a request on the kept connection, which the server closes without a response. */
+/* Sends another request on the kept connection, which the server closes without a response. */
 static void fail_on_kept_connection(struct fixture *f, int fd)
 {
 	char buf[2048];
 
+	set_id(f, "two");
 	start_transfer(f);
 	run_until(f, CS_TRANSFER_SENT);
 	ev_run(f->loop, EVRUN_NOWAIT);
@@ -244,11 +253,12 @@
 	g_assert_cmpint(send(fd, RESPONSE("one", ""), strlen(RESPONSE("one", "")), MSG_NOSIGNAL), >,
 			0);
 	g_usleep(5000);
+	set_id(&f, "two");
 	start_transfer(&f);
 	run_until(&f, CS_TRANSFER_SENT);
 	new_fd = accept(f.listener, NULL, NULL);
 	ev_run(f.loop, EVRUN_NOWAIT);
-	serve_request(new_fd, RESPONSE("one", "X-Fresh: 1\r\n"));
+	serve_request(new_fd, RESPONSE("two", "X-Fresh: 1\r\n"));
 	run_until(&f, CS_TRANSFER_COMPLETE);
 	g_assert_nonnull(head_get(cs_transfer_head(f.transfer), "X-Fresh"));
 	close(fd);
@@ -274,16 +284,18 @@
 	serve_request(fd, refusal);
 	run_until(&f, CS_TRANSFER_COMPLETE);
 	g_assert_true(cs_transfer_is_own_response(f.transfer));
+	set_id(&f, "two");
 	start_transfer(&f);
 	run_until(&f, CS_TRANSFER_SENT);
 	ev_run(f.loop, EVRUN_NOWAIT);
 	serve_request(fd, refusal);
 	run_until(&f, CS_TRANSFER_COMPLETE);
 	g_assert_false(cs_transfer_is_own_response(f.transfer));
+	set_id(&f, "three");
 	start_transfer(&f);
 	run_until(&f, CS_TRANSFER_SENT);
 	ev_run(f.loop, EVRUN_NOWAIT);
-	serve_request(fd, RESPONSE("one", ""));
+	serve_request(fd, RESPONSE("three", ""));
 	run_until(&f, CS_TRANSFER_COMPLETE);
 	g_assert_true(cs_transfer_is_own_response(f.transfer));
 	close(fd);
@@ -333,6 +345,86 @@
 	check_late_copy_of_refusal(false);
 }
 
+/* Sends a request and answers it; returns true if it came over the connection fd. */
+static bool is_sent_on(struct fixture *f, int fd, const char *id)
+{
+	char response[128];
+	int new_fd;
+
+	snprintf(response, sizeof(response), "HTTP/1.1 200 OK\r\n%s%s%sContent-Length: 2\r\n\r\nok",
+		 *id ? "X-Id: " : "", id, *id ? "\r\n" : "");
+	set_id(f, id);
+	start_transfer(f);
+	run_until(f, CS_TRANSFER_SENT);
+	ev_run(f->loop, EVRUN_NOWAIT);
+	new_fd = accept(f->listener, NULL, NULL);
+	serve_request(new_fd >= 0 ? new_fd : fd, response);
+	run_until(f, CS_TRANSFER_COMPLETE);
+	if (new_fd >= 0)
+		close(new_fd);
+	return new_fd < 0;
+}
+
+/*
+ * Guards against requests without an id that follow each other on a connection: neither response
+ * would tell which request it belongs to.
+ */
+static void test_no_id_once_per_connection(void)
+{
+	struct fixture f;
+	int fd;
+
+	fixture_init(&f);
+	fd = open_kept_connection(&f);
+	g_assert_cmpint(fcntl(f.listener, F_SETFL, O_NONBLOCK), ==, 0);
+	g_assert_true(is_sent_on(&f, fd, ""));
+	g_assert_true(is_sent_on(&f, fd, "two"));
+	g_assert_false(is_sent_on(&f, fd, ""));
+	close(fd);
+	fixture_destroy(&f);
+}
+
+/* Guards against a response to an earlier request that is taken for that to one without an id. */
+static void test_no_id_refuses_response_with_id(void)
+{
+	struct fixture f;
+	int fd;
+
+	fixture_init(&f);
+	fd = open_kept_connection(&f);
+	set_id(&f, "");
+	start_transfer(&f);
+	run_until(&f, CS_TRANSFER_SENT);
+	ev_run(f.loop, EVRUN_NOWAIT);
+	serve_request(fd, RESPONSE("one", ""));
+	run_until(&f, CS_TRANSFER_FAILED);
+	close(fd);
+	fixture_destroy(&f);
+}
+
+/* Guards against a connection that outlives the memory of the ids that were sent on it. */
+static void test_busy_connection_is_replaced(void)
+{
+	struct fixture f;
+	unsigned n;
+	char id[8];
+	int fd;
+
+	fixture_init(&f);
+	fd = open_kept_connection(&f);
+	g_assert_cmpint(fcntl(f.listener, F_SETFL, O_NONBLOCK), ==, 0);
+	for (n = 1; n < 1000; n++) {
+		snprintf(id, sizeof(id), "n%u", n);
+		if (!is_sent_on(&f, fd, id))
+			break;
+	}
+	/* Each connection carries several requests, and none that cannot be remembered. */
+	g_assert_cmpuint(n, >=, 16);
+	g_assert_cmpuint(n, <, 1000);
+	close(fd);
+	fixture_destroy(&f);
+}
+
 /* Guards against a head that ends early and is taken for a complete response. */
 static void test_cut_head_fails(void)
 {
@@ -379,6 +471,10 @@
 	g_test_add_func("/transfer/late-copy-of-refusal", test_late_copy_of_refusal);
 	g_test_add_func("/transfer/late-copy-of-refusal-repeatable",
 			test_late_copy_of_refusal_repeatable);
+	g_test_add_func("/transfer/no-id-once-per-connection", test_no_id_once_per_connection);
+	g_test_add_func("/transfer/no-id-refuses-response-with-id",
+			test_no_id_refuses_response_with_id);
+	g_test_add_func("/transfer/busy-connection-is-replaced", test_busy_connection_is_replaced);
 	g_test_add_func("/transfer/cut-head-fails", test_cut_head_fails);
 	return g_test_run();
 }
