node: a health check asks for the path that its server has

What servers saw: requests such as 'GET HTTP/1.1', or with other bytes in place of the path; the health check fails and the server stays excluded for 300 ms more.

Cause: the path belonged to the document. Since health checks use no connection that was idle for over 100 ms: a transfer that chose one is sent again on a new connection, and reads its options once more. If another document came into force between the two, the path was in freed memory.

Change: the health check has a copy of the path. The header of the transfers says how long pointers must be valid; those of requests are part of the call.

--- a/lib/proxy/transfer.h
+++ b/lib/proxy/transfer.h
@@ -35,12 +35,13 @@
 /* Called directly before the request is sent; false if it must not be sent any more. */
 typedef bool (*cs_transfer_check_cb)(void *arg);
 
+/* All pointers but addr must be valid until the end of the transfer. */
 struct cs_transfer_opts {
 	const char *addr;
 	uint16_t port;
 	const char *method;
 	const char *target; /* as sent in the request line */
-	struct curl_slist *lines; /* header lines; valid until the end of the transfer */
+	struct curl_slist *lines; /* header lines */
 	const char *id_name; /* header that a server returns unchanged in its response; NULL: none */
 	const char *id; /* value of that header; NULL or empty: sent without one */
 	struct ring *body; /* NULL: no body */
--- a/src/node/probe.c
+++ b/src/node/probe.c
@@ -13,6 +13,7 @@
 	struct cs_transfer *transfer;
 	uint64_t started_us;
 	char server[CS_NAME_MAX];
+	char path[CS_NAME_MAX]; /* a copy: the document may be replaced meanwhile */
 	char expected_header[96];
 	struct curl_slist headers[2];
 	struct cs_timer timeout;
@@ -29,7 +30,7 @@
 		.addr = cs_backend_addr(b),
 		.port = cs_backend_port(b),
 		.method = "GET",
-		.target = cs_backend_health_path(n->steer, b),
+		.target = p->path,
 		.lines = p->headers,
 		/* That a kept connection fails says nothing about health. */
 		.at_most_once = true,
@@ -39,6 +40,7 @@
 	p->backend = b;
 	p->started_us = cs_mono_us();
 	cs_copy(p->server, sizeof(p->server), cs_backend_id(b));
+	cs_copy(p->path, sizeof(p->path), cs_backend_health_path(n->steer, b));
 	snprintf(p->expected_header, sizeof(p->expected_header), PLATFORM_H_EXPECTED_SERVER ": %s",
 		 p->server);
 	p->headers[0] = (struct curl_slist){p->expected_header, NULL};
