--- a/tests/run/soak.sh
+++ b/tests/run/soak.sh
@@ -6,7 +6,8 @@
 # Instances are killed, stopped, suspended and restarted, also in series and at the same time, while their callers go
 # on using open connections. The store stops answering, refuses requests or compacts its history. Servers name limits
 # or a Retry-After, or leave. A relay delays, resets or drops traffic to the servers and the store, also in one
-# direction only; these faults overlap with the others. The responses that callers got are compared with the
+# direction only, or sends responses of servers twice, the second time when the next request arrives; these faults
+# overlap with the others. The responses that callers got are compared with the
 # executions that the servers counted.
 . "$(dirname "${BASH_SOURCE[0]}")/node-lib.sh"
 seed=${SEED:-1}
@@ -129,7 +130,7 @@
 end=$((SECONDS + duration_s))
 while [ $SECONDS -lt $end ]; do
 	n=${nodes[RANDOM % instances]}
-	case $((RANDOM % 17)) in
+	case $((RANDOM % 18)) in
 	0) signal KILL "$n"; sleep 0.$((RANDOM % 9)); restart "$n" ;;
 	1) signal TERM "$n"; sleep 1.$((RANDOM % 9)); restart "$n" ;;
 	2) signal STOP "$n"; sleep 1.$((RANDOM % 9)); signal CONT "$n" ;;
@@ -145,13 +146,14 @@
 	12) link 'from=any&to=store&both=1&mode=hole'; later 1.$((RANDOM % 9)) link 'mode=ok' ;;
 	13) for n in "${nodes[@]}"; do signal TERM "$n"; sleep "$step_s"; done; sleep 1; restart_all ;;
 	14) n=$((RANDOM % 3 + 2)); limit $n $((RANDOM % 20 + 2)); later 1.$((RANDOM % 9)) limit $n '' ;;
+	17) link "from=servers&to=n$n&copies=1"; later 1.$((RANDOM % 9)) link 'copies=0' ;;
 	15 | 16) leave $((RANDOM % 5 + 4)).$((RANDOM % 9)) ;;
 	esac
 	sleep 0.$((RANDOM % 9))
 done
 wait_for 20 none_outstanding || echo "a delayed fault has not ended after 20 s"
 store_mode ok
-link 'mode=ok&ms=0'
+link 'mode=ok&ms=0&copies=0'
 is_ready() { ready "$1" >/dev/null 2>&1; }
 for n in "${nodes[@]}"; do
 	wait_for 10 ready "$n" || tail -n 20 "$dir/node$n.log"
--- a/tests/standins/links/links.h
+++ b/tests/standins/links/links.h
@@ -22,6 +22,7 @@
 	enum mode mode;
 	uint64_t delay_us;
 	struct link *link; /* bandwidth limit; NULL: unlimited */
+	bool copies; /* the last response on a connection is sent again before the next one */
 };
 
 /* Bandwidth limit shared by several zone pairs; data is sent in order of arrival. */
--- a/tests/standins/links/relay.c
+++ b/tests/standins/links/relay.c
@@ -22,6 +22,7 @@
 #define CHUNK_BYTES 65536
 #define PROBE_INTERVAL_US (30 * CS_US_PER_MS)
 #define QUEUE_MAX_BYTES (4 * 1024 * 1024) /* of one direction */
+#define COPY_MAX_BYTES 8192 /* longer responses are not copied */
 
 struct chunk {
 	STAILQ_ENTRY(chunk) entry;
@@ -55,6 +56,8 @@
 	bool connecting;
 	struct listener *listener;
 	struct sockaddr_in client_addr;
+	char response[COPY_MAX_BYTES]; /* received since the last data from the client */
+	size_t response_len;
 };
 
 RB_HEAD(flow_tree, flow);
@@ -145,11 +148,53 @@
 	free(c);
 }
 
+static void flow_append(struct flow *f, const char *data, size_t n)
+{
+	struct chunk *c = cs_xcalloc(1, sizeof(*c) + n);
+
+	c->len = n;
+	memcpy(c->data, data, n);
+	c->due_us = pair_due_us(f->pair, cs_mono_us(), n);
+	STAILQ_INSERT_TAIL(&f->chunks, c, entry);
+	f->queued_bytes += n;
+}
+
+/* Schedules or sends what was appended to a flow; may free the connection. */
+static void flow_push(struct flow *f)
+{
+	struct chunk *c = STAILQ_FIRST(&f->chunks);
+
+	if (c == NULL || f->scheduled)
+		return;
+	if (f->pair->mode == MODE_OK && c->due_us <= cs_mono_us())
+		flow_deliver(f);
+	else
+		flow_schedule(f);
+}
+
+/* Keeps a response, and appends its copy once the client has sent the next request. */
+static void copy_response(struct flow *f, const char *buf, size_t n)
+{
+	struct conn *c = f->conn;
+
+	if (f == &c->up) {
+		if (c->down.pair->copies && c->response_len > 0 && n > 0 &&
+		    c->response_len < COPY_MAX_BYTES)
+			flow_append(&c->down, c->response, c->response_len);
+		c->response_len = 0;
+		return;
+	}
+	if (n > COPY_MAX_BYTES - c->response_len)
+		n = COPY_MAX_BYTES - c->response_len;
+	memcpy(c->response + c->response_len, buf, n);
+	c->response_len += n;
+}
+
 static void on_flow_readable(struct ev_loop *l, ev_io *w, int events)
 {
 	struct flow *f = w->data;
 	static char buf[CHUNK_BYTES];
-	struct chunk *c;
+	struct conn *conn = f->conn;
 	ssize_t n = recv(f->from, buf, sizeof(buf), 0);
 
 	if (n < 0) {
@@ -157,20 +202,16 @@
 			conn_close(f->conn, true);
 		return;
 	}
-	c = cs_xcalloc(1, sizeof(*c) + (size_t)n);
-	c->len = (size_t)n;
-	memcpy(c->data, buf, (size_t)n);
-	c->due_us = pair_due_us(f->pair, cs_mono_us(), (size_t)n);
-	STAILQ_INSERT_TAIL(&f->chunks, c, entry);
-	f->queued_bytes += (size_t)n;
+	copy_response(f, buf, (size_t)n);
+	flow_append(f, buf, (size_t)n);
 	if (n == 0)
 		f->input_ended = true;
 	if (n == 0 || f->queued_bytes >= QUEUE_MAX_BYTES)
 		ev_io_stop(l, w);
-	if (!f->scheduled && f->pair->mode == MODE_OK && c->due_us <= cs_mono_us())
-		flow_deliver(f);
-	else if (!f->scheduled)
-		flow_schedule(f);
+	/* The copy first: the connection may end with the client's data. */
+	if (f == &conn->up && !conn->connecting)
+		flow_schedule(&conn->down);
+	flow_push(f);
 	arm_timer();
 }
 
--- a/tests/standins/links/zones.c
+++ b/tests/standins/links/zones.c
@@ -125,7 +125,8 @@
 static void pair_set(struct zone_pair *p, struct cs_http_req *req)
 {
 	const char *mode = cs_http_query_arg(req, "mode"), *ms = cs_http_query_arg(req, "ms"),
-		   *mbit = cs_http_query_arg(req, "mbit");
+		   *mbit = cs_http_query_arg(req, "mbit"),
+		   *copies = cs_http_query_arg(req, "copies");
 
 	if (mode != NULL)
 		p->mode = strcmp(mode, "cut") == 0    ? MODE_CUT
@@ -133,6 +134,8 @@
 						      : MODE_OK;
 	if (ms != NULL)
 		p->delay_us = (uint64_t)(strtod(ms, NULL) * (double)CS_US_PER_MS);
+	if (copies != NULL)
+		p->copies = strcmp(copies, "1") == 0;
 	if (mbit != NULL && p->link != NULL)
 		p->link->bytes_per_us = strtod(mbit, NULL) / 8;
 }
