proxy: a transfer is restarted on a new connection only once

What operators saw: nothing so far; an instance whose source address is gone would use its whole core.

Cause: a transfer that libcurl ends with CURLE_ABORTED_BY_CALLBACK was restarted as long as the kept connection of its first try was unusable. A new socket that cannot be bound ends it in the same way.

Change: one restart. A second is never needed, as nothing was sent on a new connection.

--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -48,6 +48,7 @@
 	bool running; /* added to libcurl */
 	bool event_queued; /* in the list of events */
 	bool stale; /* the kept connection that libcurl chose was unusable */
+	bool restarted; /* on a new connection */
 	bool withheld; /* opts.may_send was false */
 	bool resend_aborted; /* libcurl tried to send the request again */
 	uint64_t sent_us; /* time of the last send; 0: unsent */
@@ -255,7 +256,7 @@
 
 	curl_easy_setopt(e, CURLOPT_URL, t->url);
 	curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, o->target);
-	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, t->stale || o->own_connection ? 1L : 0L);
+	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, t->restarted || o->own_connection ? 1L : 0L);
 	/*
 	 * A server may respond before it has read a long body and keep the connection open. If the
 	 * connection were reused, it would read the rest of the body as the next request.
@@ -636,8 +637,9 @@
 	struct cs_transfer *t = arg;
 
 	t->running = false;
-	if (t->stale && !t->withheld && t->state == CS_TRANSFER_UNSENT &&
+	if (t->stale && !t->restarted && !t->withheld && t->state == CS_TRANSFER_UNSENT &&
 	    code == CURLE_ABORTED_BY_CALLBACK) {
+		t->restarted = true;
 		transfer_send(t);
 		return;
 	}
