node: statements of a server only from a response to the request itself

What callers saw: 503 for a while, or until a server's next start, after a server had sent an earlier response once more and without the request's id: requests were refused with "no_server" or "overload".

Cause: what a server states about itself was taken from any response that came from it. On a connection that was used before, one without the request's id may be the copy of an earlier one, and its statements counted as new: Retry-After began a pause, Server-Limit a limit, Server-Leaving ended the use of the server, also after its restart, as the copy had the time of the later request; an old load reduced its slots.

Change: node_attempt_record_head() takes statements and the load only if cs_transfer_is_own_response(). A refusal without the id on a new connection still counts (node-faulty.sh). The end of a limit needs the id as before.

Why it works: an id is sent on one connection only once and a copy arrives on the connection of its original, so a response with the id, or the first one of a connection, is no copy.

--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -142,7 +142,8 @@
 	if (a->head_recorded || !cs_transfer_has_head(a->transfer))
 		return;
 	a->head_recorded = true;
-	if (!is_from_server(a))
+	/* A copy of an earlier response states what was true then. */
+	if (!is_from_server(a) || !cs_transfer_is_own_response(a->transfer))
 		return;
 	if (cs_transfer_status(a->transfer) != 421)
 		notice_record(a->req->node, a->backend, a->transfer, a->started_us, a->req->id,
--- /dev/null
+++ b/tests/run/check.d/node-stale-notice.sh
@@ -0,0 +1,53 @@
+#!/usr/bin/env bash
+# Guards against a server that is left alone, limited or seen as full because of what an earlier response of it stated
+# that is sent once more, late and without a request's id.
+. "$(dirname "$0")/../node-lib.sh"
+start_all
+start_faulty_only
+entry=$(curl -sSf "http://$store:8142/v1/kv-range?prefix=servers/i-9" | jq -r ".items[0].value" | base64 -d)
+
+# new_process: makes the instances forget what the server stated.
+born=2000
+new_process() {
+	born=$((born + 1000))
+	curl -sSf "$control/put?key=servers/i-9" -d "$(jq ".born = $born" <<<"$entry")" >/dev/null
+	wait_for 8 only_faulty || echo "requests do not reach the faulty server"
+}
+# copy_follows KIND: lets copies of that kind arrive where the response to the next request is due.
+copy_follows() {
+	local i
+	new_process
+	for i in 1 2 3; do
+		status "/safe/late-$1/60" >/dev/null
+		status /safe/slow/150 >/dev/null
+		# Longer than a server is left alone after a failed attempt.
+		sleep 0.2
+	done
+}
+# together N: sends N requests at once; prints how many are answered.
+together() {
+	local i running=()
+	for i in $(seq "$1"); do
+		status /safe/slow/500 >"$dir/together.$i" &
+		running+=($!)
+	done
+	wait "${running[@]}"
+	grep -l '^200 0' "$dir"/together.* | wc -l
+}
+logged() { grep -c "event=$1 .*server=i-9 " "$dir/node1.log"; }
+
+copy_follows limit
+n=$(logged server.limit)
+ok "an old limit is not applied (applied: $n)" [ "$n" = 0 ]
+copy_follows pause
+n=$(logged server.retry_after)
+ok "an old Retry-After does not begin a pause (begun: $n)" [ "$n" = 0 ]
+copy_follows leaving
+n=$(logged server.leaving)
+ok "a server does not count as leaving because of an old response (logged: $n)" [ "$n" = 0 ]
+copy_follows load
+n=$(together 4)
+ok "an old load does not take away slots (answered: $n of 4)" [ "$n" = 4 ]
+n=$(grep -c 'event=send.failed .*earlier_sends=[1-9].*has_id=0' "$dir/node1.log")
+ok "copies arrived on connections that were used before ($n)" [ "$n" -ge 8 ]
+finish
--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -421,6 +421,40 @@
 	send_all(c, refusal, sizeof(refusal) - 1);
 }
 
+/*
+ * Responds, then n ms later sends a response without a request id, as if one to an earlier request
+ * were written once more.
+ */
+static void send_late_copy(struct client *c, long long n, int status, const char *lines)
+{
+	if (!read_request(c))
+		return;
+	send_text(c, 200, "", "first\n");
+	usleep((useconds_t)(n * 1000));
+	c->answer_lines[0] = '\0';
+	send_text(c, status, lines, "");
+}
+
+static void do_late_pause(struct client *c, long long n)
+{
+	send_late_copy(c, n, 503, "Cassiascale-Not-Executed: 1\r\nRetry-After: 20\r\n");
+}
+
+static void do_late_limit(struct client *c, long long n)
+{
+	send_late_copy(c, n, 200, "Server-Limit: 0.5\r\n");
+}
+
+static void do_late_leaving(struct client *c, long long n)
+{
+	send_late_copy(c, n, 200, "Server-Leaving: 1\r\n");
+}
+
+static void do_late_load(struct client *c, long long n)
+{
+	send_late_copy(c, n, 200, "Cassiascale-Server-Load: 0,0,1\r\n");
+}
+
 /* Closes the connection in the middle of the head: n is the number of complete header lines. */
 static void do_cut_head(struct client *c, long long n)
 {
@@ -637,6 +671,10 @@
 	{"/late/", do_late},
 	{"/late-named/", do_late_named},
 	{"/late-refusal/", do_late_refusal},
+	{"/late-pause/", do_late_pause},
+	{"/late-limit/", do_late_limit},
+	{"/late-leaving/", do_late_leaving},
+	{"/late-load/", do_late_load},
 	{"/cut-head/", do_cut_head},
 	{"/endless-head", do_endless_head},
 	{"/endless-lines", do_endless_lines},
