--- a/tests/run/check.d/node-stale-notice.sh
+++ b/tests/run/check.d/node-stale-notice.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Guards against a server that is left alone, limited or seen as full because of what an earlier response of it stated
-# that is sent once more, late and without a request's id.
+# that is sent once more, late and without a request's id; and against a client that sent no id and gets the response
+# to another client's request.
 . "$(dirname "$0")/../node-lib.sh"
 start_all
 start_faulty_only
@@ -36,6 +37,16 @@
 }
 logged() { grep -c "event=$1 .*server=i-9 " "$dir/node1.log"; }
 
+mixed=0
+for kind in safe unsafe; do
+	for i in 1 2 3; do
+		status /safe/late/60 >/dev/null
+		a=$(curl -sS --max-time 8 "http://127.$run.1.1:8144/$kind/slow/150" -H 'Host: h.example' -H 'Cassiascale-Deadline-Milliseconds: 3000')
+		grep -q '^stray' <<<"$a" && mixed=$((mixed + 1))
+		sleep 0.2
+	done
+done
+ok "no client without an id gets the response to another request (mixed: $mixed of 6)" [ $mixed = 0 ]
 copy_follows limit
 n=$(logged server.limit)
 ok "an old limit is not applied (applied: $n)" [ "$n" = 0 ]
