node: a health check has a connection of its own

What callers saw: requests to a server that failed its health check, or more requests to a cold server than it takes (it then crashes); 503 while a healthy server was left out.

Cause: a health check went over a connection that a request had used in the last 100 ms and has no id. The copy of the response to an earlier request, sent late, was taken for its result: a 200 ended the exclusion and said "not cold", a 503 lengthened it, a Retry-After in it began a pause.

Change: own_connection in place of at_most_once.

Why it works: a copy arrives on the connection of its original; nothing else is sent on this one, with or without an id.

--- a/src/node/probe.c
+++ b/src/node/probe.c
@@ -31,8 +31,11 @@
 		.method = "GET",
 		.target = cs_backend_health_path(n->steer, b),
 		.lines = p->headers,
-		/* That a kept connection fails says nothing about health. */
-		.at_most_once = true,
+		/*
+		 * On a kept connection the copy of an earlier response could arrive, and that such
+		 * a connection fails says nothing about health.
+		 */
+		.own_connection = true,
 		.buffer_max = RESPONSE_BUFFER_MAX};
 
 	p->node = n;
--- a/tests/run/check.d/node-stale-notice.sh
+++ b/tests/run/check.d/node-stale-notice.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Guards against a server that is left alone, limited or seen as full because of what an earlier response of it stated
 # that is sent once more, late and without a request's id; and against a client that sent no id and gets the response
-# to another client's request.
+# to another client's request; and against a health check that takes the response to a request for its own.
 . "$(dirname "$0")/../node-lib.sh"
 start_all
 start_faulty_only
@@ -59,6 +59,21 @@
 copy_follows load
 n=$(together 4)
 ok "an old load does not take away slots (answered: $n of 4)" [ "$n" = 4 ]
+# first_check KIND ID: prints the result of the health check after which the copy of a response follows.
+first_check() {
+	new_process
+	id=$2 call 1 "/safe/check-$1/80" >/dev/null
+	sleep 0.4
+	sed -n "/event=send.failed .*id=$2 /,\$ { /event=server.probed/ { s/.* ok=/ok=/p; q } }" "$dir/node1.log"
+}
+for i in 1 2 3; do
+	a=$(first_check fails "fails-$i")
+	ok "a failing health check does not pass ($a)" has "$a" '^ok=0 cold_ms=0 status=503'
+	a=$(first_check cold "cold-$i")
+	ok "a health check notices that the server is cold ($a)" has "$a" '^ok=1 cold_ms=1000'
+	a=$(first_check passes "passes-$i")
+	ok "a good health check does not fail ($a)" has "$a" '^ok=1 cold_ms=0 status=200'
+done
 n=$(grep -c 'event=send.failed .*earlier_sends=[1-9].*has_id=0' "$dir/node1.log")
 ok "copies arrived on connections that were used before ($n)" [ "$n" -ge 8 ]
 finish
--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -455,6 +455,61 @@
 	send_late_copy(c, n, 200, "Cassiascale-Server-Load: 0,0,1\r\n");
 }
 
+/* Response to health checks, by the last request that was misdirected. */
+static _Atomic int health_status = 200;
+static _Atomic int health_cold_ms;
+
+static void do_health(struct client *c, long long n)
+{
+	char server[64] = "", lines[160];
+
+	if (!read_request(c))
+		return;
+	find_header(c, "Cassiascale-Expected-Instance", server, sizeof(server));
+	snprintf(lines, sizeof(lines),
+		 "Cassiascale-Instance-Id: %s\r\nCassiascale-Cold-Milliseconds: %d\r\n", server,
+		 health_cold_ms);
+	send_text(c, health_status, lines, "");
+}
+
+/*
+ * Responds that another server has the address, so that a health check follows, and n ms later with
+ * the status, as if the response to an earlier request were written once more.
+ */
+static void send_copy_to_check(struct client *c, long long n, int status)
+{
+	char server[64] = "", lines[128];
+
+	if (!read_request(c))
+		return;
+	find_header(c, "Cassiascale-Expected-Instance", server, sizeof(server));
+	send_text(c, 421, "Cassiascale-Not-Executed: 1\r\n", "");
+	usleep((useconds_t)(n * 1000));
+	snprintf(lines, sizeof(lines), "Cassiascale-Instance-Id: %s\r\n", server);
+	send_text(c, status, lines, "");
+}
+
+static void do_check_fails(struct client *c, long long n)
+{
+	health_status = 503;
+	health_cold_ms = 0;
+	send_copy_to_check(c, n, 200);
+}
+
+static void do_check_passes(struct client *c, long long n)
+{
+	health_status = 200;
+	health_cold_ms = 0;
+	send_copy_to_check(c, n, 503);
+}
+
+static void do_check_cold(struct client *c, long long n)
+{
+	health_status = 200;
+	health_cold_ms = 1000;
+	send_copy_to_check(c, n, 200);
+}
+
 /* Closes the connection in the middle of the head: n is the number of complete header lines. */
 static void do_cut_head(struct client *c, long long n)
 {
@@ -675,6 +730,10 @@
 	{"/late-limit/", do_late_limit},
 	{"/late-leaving/", do_late_leaving},
 	{"/late-load/", do_late_load},
+	{"/health", do_health},
+	{"/check-fails/", do_check_fails},
+	{"/check-passes/", do_check_passes},
+	{"/check-cold/", do_check_cold},
 	{"/cut-head/", do_cut_head},
 	{"/endless-head", do_endless_head},
 	{"/endless-lines", do_endless_lines},
