steer: a response of a server's former process does not set the load of the new one

What callers saw: 503 "overload" while a server that had started again under its id had free slots.

Cause: cs_steer_update_load() took the load of any response. One to a request that was sent before the restart may come after the new entry of the server, which had cleared the load; the number of slots in it then held until the next response with a load. Retry-After, Server-Limit and Server-Leaving are ignored in this case already.

Evidence: /steer/load-of-former-process-ignored failed before: (1 == 4), 1 of 4 slots was used.

Change: the function gets the time of the request and ignores one before the start of the process.

Run: test-steer-notice and test-steer pass.

--- a/lib/steer/outcome.c
+++ b/lib/steer/outcome.c
@@ -98,9 +98,11 @@
 	}
 }
 
-void cs_steer_update_load(struct cs_steer *s, struct cs_backend *b, const struct cs_server_load *l,
+void cs_steer_update_load(struct cs_backend *b, const struct cs_server_load *l, uint64_t sent_us,
 			  uint64_t now_us)
 {
+	if (sent_us < b->process_since_us)
+		return;
 	b->load = *l;
 	b->load_us = now_us;
 }
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -203,7 +203,8 @@
 	unsigned running, waiting, slots;
 	unsigned slowdown_pct; /* service time relative to normal, in percent; 0 if not reported */
 };
-void cs_steer_update_load(struct cs_steer *s, struct cs_backend *b, const struct cs_server_load *l,
+/* sent_us: when the request was sent; a response of the former process of the id is ignored. */
+void cs_steer_update_load(struct cs_backend *b, const struct cs_server_load *l, uint64_t sent_us,
 			  uint64_t now_us);
 /* What a server states about itself in a response, apart from its load. */
 struct cs_server_notice {
--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -151,7 +151,7 @@
 						    head_get(h, PLATFORM_H_NOT_EXECUTED) != NULL));
 	text = head_get(h, PLATFORM_H_LOAD);
 	if (text != NULL && platform_load_parse(text, &load))
-		cs_steer_update_load(a->req->node->steer, a->backend, &load, cs_mono_us());
+		cs_steer_update_load(a->backend, &load, a->started_us, cs_mono_us());
 }
 
 /* Statuses that tell a client that its request did not run. */
--- a/tests/unit/test-steer-notice.c
+++ b/tests/unit/test-steer-notice.c
@@ -146,6 +146,36 @@
 	cs_steer_destroy(s);
 }
 
+/* Sends requests until one waits; returns how many of them the server has. */
+static unsigned count_slots(struct cs_steer *s, const char *server, uint64_t now)
+{
+	struct cs_steer_decision d;
+	unsigned i, sent = 0;
+
+	for (i = 0; i < G_N_ELEMENTS(reqs); i++) {
+		fixture_init_request(s, &reqs[i], 0, now);
+		cs_steer_decide(s, &reqs[i], now, &d);
+		if (d.verdict != CS_STEER_SEND)
+			break;
+		sent += strcmp(cs_backend_id(d.u.send.backend), server) == 0;
+	}
+	return sent;
+}
+
+/* Guards against a new process that is seen as full by a response that the former one sent late. */
+static void test_load_of_former_process_ignored(void)
+{
+	struct cs_server_load load = {.slots = 1};
+	uint64_t now = MS(10000);
+	struct cs_steer *s = two_servers(now);
+	struct cs_backend *b = backend_of(s, "s1", now);
+
+	restart_server(s, now + MS(100));
+	cs_steer_update_load(b, &load, now + MS(50), now + MS(200));
+	g_assert_cmpuint(count_slots(s, "s1", now + MS(200)), ==, 4);
+	cs_steer_destroy(s);
+}
+
 /* Guards against instances that each send a leaving server requests until it tells them too. */
 static void test_reported_to_other_instances(void)
 {
@@ -494,6 +524,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/steer/load-of-former-process-ignored",
+			test_load_of_former_process_ignored);
 	g_test_add_func("/steer/leaving/unsent-request-is-withheld",
 			test_unsent_request_is_withheld);
 	g_test_add_func("/steer/leaving/gets-no-attempt", test_leaving_gets_no_attempt);
