steer: the reported age of a server's limit does not wrap

What callers saw: nothing yet; instances that know that a limit has ended, or a newer one, would have taken the old one for about 20 s more.

Cause: a report gives the age of a limit in 16 bits of milliseconds. A limit of 0.1 requests a second that no response confirms is kept for up to 70 s, and an instance that becomes a root of its zone sends all limits it knows: one of 66.5 s had the age 0.96 s.

Evidence: /steer/limit/age-does-not-wrap failed before: (964 >= 60000).

Change: the age is cut at the greatest value of the field.

Run: test-steer-notice and test-server-limit pass.

--- a/lib/steer/server-limit.c
+++ b/lib/steer/server-limit.c
@@ -324,11 +324,13 @@
 
 static void report_add(struct cs_steer_report *r, const struct cs_backend *b, uint64_t now_us)
 {
+	uint64_t age_ms = (now_us - b->limit_us) / CS_US_PER_MS;
+
 	r->limits[r->n_limits++] = (struct cs_report_limit){
 		.server = b->id_hash,
 		.started = backend_started_low(b),
 		.per_s = (float)b->limit_per_s,
-		.age_ms = (uint16_t)((now_us - b->limit_us) / CS_US_PER_MS),
+		.age_ms = age_ms < UINT16_MAX ? (uint16_t)age_ms : UINT16_MAX,
 	};
 }
 
--- a/tests/unit/test-steer-notice.c
+++ b/tests/unit/test-steer-notice.c
@@ -292,6 +292,36 @@
 	cs_steer_destroy(s);
 }
 
+/* The greatest age in a report that is sent after ms without any response from the servers. */
+static unsigned oldest_reported_ms(unsigned ms)
+{
+	uint64_t now = MS(10000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	unsigned i, age, oldest = 0;
+
+	cs_steer_set_document(s, fixture_document(1, NULL), now);
+	add_backends(s, now);
+	for (i = 0; i < MANY; i++)
+		cs_steer_server_limit(s, backends[i], 0.1, now, now);
+	fixture_run(s, &now, now + MS(ms));
+	g_assert_cmpuint(cs_steer_count_limited(s), >, 0);
+	memset(&report, 0, sizeof(report));
+	cs_steer_build_report(s, &report, now);
+	for (i = 0; i < report.n_limits; i++) {
+		age = report.limits[i].age_ms;
+		oldest = age > oldest ? age : oldest;
+	}
+	cs_steer_destroy(s);
+	return oldest;
+}
+
+/* Guards against the report of a limit that no response confirmed for long as one just named. */
+static void test_age_of_limit_does_not_wrap(void)
+{
+	g_assert_cmpuint(oldest_reported_ms(60500), >=, 60000);
+	g_assert_cmpuint(oldest_reported_ms(66500), >=, 60000);
+}
+
 /* Finds 4 objects whose requests are sent to the server while all slots are free. */
 static void objects_of(struct cs_steer *s, const char *server, uint64_t objects[4], uint64_t now)
 {
@@ -526,6 +556,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/steer/load-of-former-process-ignored",
 			test_load_of_former_process_ignored);
+	g_test_add_func("/steer/limit/age-does-not-wrap", test_age_of_limit_does_not_wrap);
 	g_test_add_func("/steer/leaving/unsent-request-is-withheld",
 			test_unsent_request_is_withheld);
 	g_test_add_func("/steer/leaving/gets-no-attempt", test_leaving_gets_no_attempt);
