tests: late statements and reports on a server's limit

What a server's former process stated does not limit or pause the new one, told late by a response or by another instance, and a report that arrives twice, out of order or after one of the sender's next process does not bring back a limit that has ended. No fault was found; without the check of the sequence number, of the sender's boot, of the server's start, or of the time of the request in cs_steer_server_limit() and cs_steer_server_retry_after(), one of the two tests fails each.

--- a/tests/unit/test-steer-notice.c
+++ b/tests/unit/test-steer-notice.c
@@ -292,6 +292,69 @@
 	cs_steer_destroy(s);
 }
 
+/* Guards against a limit or a pause of a new process that the former one named, told late. */
+static void test_limit_of_former_process_ignored(void)
+{
+	uint64_t now = MS(10000);
+	struct cs_steer *s = two_servers(now), *other = two_servers(now);
+	struct cs_backend *b = backend_of(other, "s1", now);
+
+	fixture_add_member(other, "i2", "a1", now);
+	g_assert_true(cs_steer_server_limit(s, backend_of(s, "s1", now), 0.5, now, now));
+	memset(&report, 0, sizeof(report));
+	cs_steer_build_report(s, &report, now);
+	g_assert_cmpuint(report.n_limits, ==, 1);
+	cs_copy(report.name, sizeof(report.name), "i2");
+	report.boot = 1;
+	report.seq = now + 1;
+	restart_server(other, now + MS(100));
+	cs_steer_handle_report(other, &report, now + MS(200));
+	g_assert_false(cs_steer_server_limit(other, b, 0.5, now + MS(50), now + MS(200)));
+	g_assert_false(cs_steer_server_retry_after(b, 3000, now + MS(50), now + MS(200)));
+	g_assert_cmpuint(cs_steer_count_limited(other), ==, 0);
+	g_assert_cmpuint(count_sent(other, "s1", 40, now + MS(200)), >, 1);
+	cs_steer_destroy(s);
+	cs_steer_destroy(other);
+}
+
+/*
+ * Guards against reports that arrive twice, late or after one of the sender's next process, and
+ * bring back a limit that has ended.
+ */
+static void test_late_report_ignored(void)
+{
+	uint64_t now = MS(10000);
+	struct cs_steer *s = two_servers(now), *other = two_servers(now);
+	struct cs_backend *b = backend_of(other, "s1", now);
+
+	fixture_add_member(other, "i2", "a1", now);
+	g_assert_true(cs_steer_server_limit(s, backend_of(s, "s1", now), 0.5, now, now));
+	memset(&report, 0, sizeof(report));
+	cs_steer_build_report(s, &report, now);
+	cs_copy(report.name, sizeof(report.name), "i2");
+	report.boot = 1;
+	report.seq = now + 1;
+	cs_steer_handle_report(other, &report, now);
+	g_assert_cmpuint(cs_steer_count_limited(other), ==, 1);
+	cs_steer_server_limit(other, b, 0, now + MS(10), now + MS(20));
+	g_assert_cmpuint(cs_steer_count_limited(other), ==, 0);
+	cs_steer_handle_report(other, &report, now + MS(100));
+	g_assert_cmpuint(cs_steer_count_limited(other), ==, 0);
+	report.seq--;
+	cs_steer_handle_report(other, &report, now + MS(100));
+	g_assert_cmpuint(cs_steer_count_limited(other), ==, 0);
+	report.boot = 2;
+	report.n_limits = 0;
+	cs_steer_handle_report(other, &report, now + MS(200));
+	report.boot = 1;
+	report.n_limits = 1;
+	report.seq = now + 2;
+	cs_steer_handle_report(other, &report, now + MS(300));
+	g_assert_cmpuint(cs_steer_count_limited(other), ==, 0);
+	cs_steer_destroy(s);
+	cs_steer_destroy(other);
+}
+
 /* The greatest age in a report that is sent after ms without any response from the servers. */
 static unsigned oldest_reported_ms(unsigned ms)
 {
@@ -556,6 +619,9 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/steer/load-of-former-process-ignored",
 			test_load_of_former_process_ignored);
+	g_test_add_func("/steer/limit/of-former-process-ignored",
+			test_limit_of_former_process_ignored);
+	g_test_add_func("/steer/limit/late-report-ignored", test_late_report_ignored);
 	g_test_add_func("/steer/limit/age-does-not-wrap", test_age_of_limit_does_not_wrap);
 	g_test_add_func("/steer/leaving/unsent-request-is-withheld",
 			test_unsent_request_is_withheld);
