steer: a late health check does not end an exclusion that began after it

What callers saw: nothing yet; requests would go to an address that another server has, or to a cold server in the number that only a warm one takes.

Cause: cs_steer_probe_done() ended the exclusion whatever had happened since the check was sent: a 421 after a new entry, an evacuation, or a restart of the server in a zone whose entries do not replace the check. A response may take up to a second.

Evidence: /steer/late-probe-does-not-end-exclusion failed before in each of the three cases.

Change: the server has the time at which the need for a check last arose and that of the running check. A check that is older than the need does not end it; one that is older than the process of the server says nothing.

--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -276,6 +276,7 @@
 
 void backend_require_probe(struct cs_backend *b, uint64_t now_us)
 {
+	b->probe_required_us = now_us;
 	if (b->needs_probe)
 		return;
 	b->needs_probe = true;
@@ -294,6 +295,7 @@
 			continue;
 		b->probing = true;
 		b->in_flight++; /* keeps it from being freed */
+		b->probe_started_us = now_us;
 		b->next_probe_us = now_us + PROBE_PERIOD_US;
 		return b;
 	}
@@ -305,9 +307,11 @@
 {
 	b->probing = false;
 	b->in_flight--;
-	if (!ok)
+	if (!ok || b->probe_started_us < b->process_since_us)
 		return;
-	b->needs_probe = false;
+	/* A late response does not say what is true since the need arose again. */
+	if (b->probe_started_us >= b->probe_required_us)
+		b->needs_probe = false;
 	if (cold_ms > 0)
 		cs_steer_mark_cold(s, b, cold_ms, now_us);
 }
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -89,6 +89,8 @@
 	/* The server must pass a health check before it is used. */
 	bool needs_probe;
 	bool probing;
+	uint64_t probe_required_us; /* when the need last arose */
+	uint64_t probe_started_us;
 	uint64_t next_probe_us;
 };
 
--- a/tests/unit/test-steer.c
+++ b/tests/unit/test-steer.c
@@ -270,6 +270,71 @@
 	cs_steer_destroy(s);
 }
 
+/* Sends a request that another server rejects with 421. */
+static void misdirect(struct cs_steer *s, struct cs_steer_request *req, uint64_t now)
+{
+	struct cs_steer_decision d;
+
+	fixture_init_request(s, req, 0, now);
+	cs_steer_decide(s, req, now, &d);
+	g_assert_cmpint(d.verdict, ==, CS_STEER_SEND);
+	cs_steer_attempt_ended(s, req, d.u.send.backend, CS_STEER_MISDIRECTED, MS(1), now);
+}
+
+/*
+ * Guards against requests to a server that another one replaced or that became cold, because a
+ * health check that was sent before, and whose response is late, ends the exclusion.
+ */
+static void test_late_probe_does_not_end_exclusion(void)
+{
+	enum { MISDIRECTS, EVACUATED, RESTARTS, CASES };
+	struct cs_server_entry e = {
+		.port = 80, .slots = 4, .started_ms = 2000, .addr = "127.0.0.1"};
+	struct cs_steer_request req;
+	struct cs_backend *b;
+	struct cs_steer *s;
+	uint64_t now;
+	unsigned i;
+
+	cs_copy(e.id, sizeof(e.id), "s1");
+	cs_copy(e.service, sizeof(e.service), "s");
+	cs_copy(e.zone, sizeof(e.zone), "a1");
+	for (i = 0; i < CASES; i++) {
+		now = MS(1000);
+		s = fixture_create("i1", "a1", now);
+		cs_steer_set_document(s, fixture_document(1, NULL), now);
+		fixture_add_server(s, "s1", "a1", 0, now);
+		fixture_run(s, &now, MS(2000));
+		misdirect(s, &req, now);
+		/* Entries that follow an evacuation do not replace the health check. */
+		if (i == RESTARTS) {
+			cs_steer_set_evacuated(s, "a1", true, now);
+			cs_steer_set_evacuated(s, "a1", false, now);
+		}
+		b = cs_steer_next_probe(s, now);
+		g_assert_nonnull(b);
+		fixture_run(s, &now, MS(2200));
+		if (i == MISDIRECTS) {
+			fixture_add_server(s, "s1", "a1", 0, now);
+			misdirect(s, &req, now);
+		} else if (i == EVACUATED) {
+			cs_steer_set_evacuated(s, "a1", true, now);
+			cs_steer_set_evacuated(s, "a1", false, now);
+		} else {
+			cs_steer_update_server(s, &e, now);
+		}
+		fixture_run(s, &now, MS(2400));
+		cs_steer_probe_done(s, b, true, 0, now);
+		fixture_init_request(s, &req, 0, now);
+		g_assert_null(decide(s, &req, now));
+		g_assert_true(cs_steer_next_probe(s, now) == b);
+		cs_steer_probe_done(s, b, true, 0, now);
+		fixture_init_request(s, &req, 0, now);
+		g_assert_cmpstr(decide(s, &req, now), ==, "s1");
+		cs_steer_destroy(s);
+	}
+}
+
 /*
  * Guards against dropping a server at once when its entry expired during a store outage, and
  * against keeping it beyond the grace period.
@@ -766,6 +831,8 @@
 			test_entry_after_evacuation_does_not_replace_probe);
 	g_test_add_func("/steer/cold/cut-off-instances", test_cold_server_of_cut_off_instances);
 	g_test_add_func("/steer/retry/within-budget", test_retries_within_budget);
+	g_test_add_func("/steer/late-probe-does-not-end-exclusion",
+			test_late_probe_does_not_end_exclusion);
 	g_test_add_func("/steer/evacuation/unused-until-probed",
 			test_evacuated_zone_unused_until_probed);
 	g_test_add_func("/steer/grace/expired-entry-usable", test_expired_entry_usable_for_grace);
