--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -34,7 +34,7 @@
 		.method = cs_call_method(req->call),
 		.target = cs_call_target(req->call),
 		.lines = a->headers,
-		.id_name = *req->id != '\0' ? PLATFORM_H_REQUEST_ID : NULL,
+		.id_name = PLATFORM_H_REQUEST_ID,
 		.id = req->id,
 		.body = req->has_body ? &req->body : NULL,
 		.body_buffered = !req->body_streaming,
@@ -142,7 +142,8 @@
 	if (a->head_recorded || !cs_transfer_has_head(a->transfer))
 		return;
 	a->head_recorded = true;
-	if (!is_from_server(a))
+	/* A copy of an earlier response states what was true then. */
+	if (!is_from_server(a) || !cs_transfer_is_own_response(a->transfer))
 		return;
 	if (cs_transfer_status(a->transfer) != 421)
 		notice_record(a->req->node, a->backend, a->transfer, a->started_us, a->req->id,
@@ -150,7 +151,7 @@
 						    head_get(h, PLATFORM_H_NOT_EXECUTED) != NULL));
 	text = head_get(h, PLATFORM_H_LOAD);
 	if (text != NULL && platform_load_parse(text, &load))
-		cs_steer_update_load(a->req->node->steer, a->backend, &load, cs_mono_us());
+		cs_steer_update_load(a->backend, &load, a->started_us, cs_mono_us());
 }
 
 /* Statuses that tell a client that its request did not run. */
