tests: sends that break after the request ran

An unsafe request that breaks after the server ran it must reach a server once and never be answered 503, 429, 421 or 408. The server closes or resets the connection, also after a half of the body, within the status line or after an interim response with the marks of a refusal, or answers 417, 408 or 503 without the header, or sends a copy of a refusal behind its response; it refuses every later send. Each on a new and on a kept connection, without a body, and with a buffered, streamed and chunked one.

--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -3,6 +3,9 @@
  * connection has a thread that uses blocking I/O. A request whose head and body were received
  * completely is logged as one line "run ID METHOD PATH". It takes requests of cassia-proxyd and,
  * with a path that begins with the route's prefix /safe, /unsafe or /download, of cassia-node.
+ * Under /once/ an id is handled once and refused from then on; its first request is logged as "once
+ * ID N", N being the number of earlier requests on the connection, and each later one as "again
+ * ID". As a server of cassia-node it passes health checks, whichever server they expect.
  *
  * Usage: standin-faulty ADDRESS PORT LOG
  */
@@ -35,6 +38,7 @@
 	char answer_lines[200]; /* header lines that cassia-node requires in a response */
 	long long content_length; /* -1: chunked */
 	bool expects_continue; /* has an Expect header */
+	unsigned n_requests; /* on this connection, with the current one */
 	bool close; /* close the connection after this request */
 	unsigned long long body_len, body_hash;
 	uint64_t body_first_us, body_last_us; /* arrival of the first and last body bytes */
@@ -46,6 +50,13 @@
 	void (*handle)(struct client *c, long long n);
 };
 
+/* An id that was handled under /once/. */
+struct handled {
+	SLIST_ENTRY(handled) entry;
+	char id[80];
+};
+
+static SLIST_HEAD(, handled) handled_ids = SLIST_HEAD_INITIALIZER(handled_ids);
 static FILE *log_file;
 static unsigned own_port;
 static pthread_mutex_t log_mutex = PTHREAD_MUTEX_INITIALIZER;
@@ -137,6 +148,7 @@
 		c->content_length = -1;
 	c->expects_continue = find_header(c, "Expect", text, sizeof(text));
 	c->body_len = c->body_hash = c->body_first_us = c->body_last_us = 0;
+	c->n_requests++;
 	return true;
 }
 
@@ -190,6 +202,14 @@
 	}
 }
 
+static void log_run(const struct client *c)
+{
+	pthread_mutex_lock(&log_mutex);
+	fprintf(log_file, "run %s %s %s\n", c->id, c->method, c->path);
+	fflush(log_file);
+	pthread_mutex_unlock(&log_mutex);
+}
+
 /* Reads the complete body and logs the request. */
 static bool read_request(struct client *c)
 {
@@ -200,10 +220,7 @@
 	if (c->content_length < 0 ? !read_chunked_body(c)
 				  : !read_body(c, (unsigned long long)c->content_length))
 		return false;
-	pthread_mutex_lock(&log_mutex);
-	fprintf(log_file, "run %s %s %s\n", c->id, c->method, c->path);
-	fflush(log_file);
-	pthread_mutex_unlock(&log_mutex);
+	log_run(c);
 	return true;
 }
 
@@ -534,18 +551,129 @@
 	send_endless(c, "endless ");
 }
 
-/* Resets the connection in the middle of a body of n bytes whose end the connection would mark. */
-static void do_reset_body(struct client *c, long long n)
+/* Closes the connection with a reset. */
+static void reset_connection(struct client *c)
 {
 	struct linger reset = {.l_onoff = 1, .l_linger = 0};
 
+	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	c->close = true;
+}
+
+static void do_reset(struct client *c, long long n)
+{
+	if (read_request(c))
+		reset_connection(c);
+}
+
+/* Runs a request of which it has read a half, or 64 KiB of a chunked one, and resets. */
+static void do_reset_half(struct client *c, long long n)
+{
+	bool ok;
+
+	if (c->content_length < 0)
+		ok = read_body(c, BLOCK_BYTES);
+	else
+		ok = read_body(c, (unsigned long long)c->content_length / 2);
+	if (!ok)
+		return;
+	log_run(c);
+	reset_connection(c);
+}
+
+/* Closes the connection within the status line. */
+static void do_cut_status(struct client *c, long long n)
+{
+	if (!read_request(c))
+		return;
+	send_literal(c, "HTTP/1.");
+	c->close = true;
+}
+
+/* Closes the connection after an interim response with the marks of a refusal. */
+static void do_interim(struct client *c, long long n)
+{
+	char text[200];
+
+	if (!read_request(c))
+		return;
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 %lld Interim\r\nCassiascale-Attempt-Id: %s\r\n"
+		 "Cassiascale-Not-Executed: 1\r\n\r\n",
+		 n, c->id);
+	send_all(c, text, strlen(text));
+	c->close = true;
+}
+
+/* Sends a refusal of the current request. */
+static void send_refusal(struct client *c)
+{
+	char text[300];
+
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 503 Status\r\nCassiascale-Attempt-Id: %s\r\n"
+		 "Cassiascale-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		 c->id);
+	send_all(c, text, strlen(text));
+}
+
+/* Announces the end of the connection in its response, which a copy of a refusal follows. */
+static void do_refusal_behind(struct client *c, long long n)
+{
+	if (!read_request(c))
+		return;
+	send_text(c, 200, "Connection: close\r\n", "ok\n");
+	send_refusal(c);
+	c->close = true;
+}
+
+/*
+ * Responds with status n. Letters behind it, as in /answer/503-hs, select the other marks: h for
+ * Cassiascale-Not-Executed, s for the signature, e or o for the id of the expected or of another
+ * server; with c the connection is closed, and with n the request does not run.
+ */
+static void do_answer(struct client *c, long long n)
+{
+	const char *marks = strrchr(c->path, '-');
+	char server[80] = "", lines[400];
+
+	if (marks == NULL)
+		marks = "";
+	if (strchr(marks, 'n') == NULL && !read_request(c))
+		return;
+	find_header(c, "Cassiascale-Expected-Instance", server, sizeof(server));
+	snprintf(lines, sizeof(lines), "Cassiascale-Attempt-Id: %s\r\n%s%s%s%s%s", c->id,
+		 strchr(marks, 'h') != NULL ? "Cassiascale-Not-Executed: 1\r\n" : "",
+		 strchr(marks, 's') != NULL ? "Cassiascale-Response-Signature: s\r\n" : "",
+		 strpbrk(marks, "eo") != NULL ? "Cassiascale-Instance-Id: " : "",
+		 strchr(marks, 'o') != NULL ? "another" : "",
+		 strchr(marks, 'e') != NULL ? server : "");
+	if (strpbrk(marks, "eo") != NULL)
+		strncat(lines, "\r\n", sizeof(lines) - strlen(lines) - 1);
+	c->answer_lines[0] = '\0';
+	send_text(c, (int)n, lines, "answer\n");
+	c->close = strpbrk(marks, "cn") != NULL;
+}
+
+/* Answers a health check as the server that it expects. */
+static void do_health(struct client *c, long long n)
+{
+	char server[80] = "", line[128];
+
+	find_header(c, "Cassiascale-Expected-Instance", server, sizeof(server));
+	snprintf(line, sizeof(line), "Cassiascale-Instance-Id: %s\r\n", server);
+	send_text(c, 200, line, "ok\n");
+}
+
+/* Resets the connection in the middle of a body of n bytes whose end the connection would mark. */
+static void do_reset_body(struct client *c, long long n)
+{
 	if (!read_request(c))
 		return;
 	send_head(c, 200, "Connection: close\r\n", -1);
 	send_pattern(c, n);
 	usleep(50000);
-	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-	c->close = true;
+	reset_connection(c);
 }
 
 static void do_endless_body(struct client *c, long long n)
@@ -650,6 +778,13 @@
 	{"/endless-behind", do_endless_behind},
 	{"/endless-body", do_endless_body},
 	{"/reset-body/", do_reset_body},
+	{"/reset", do_reset},
+	{"/reset-half", do_reset_half},
+	{"/cut-status", do_cut_status},
+	{"/interim/", do_interim},
+	{"/refusal-behind", do_refusal_behind},
+	{"/answer/", do_answer},
+	{"/health", do_health},
 	{"/upload", do_upload},
 	{"/slow-upload/", do_slow_upload},
 	{"/drip/", do_drip},
@@ -658,6 +793,30 @@
 	{"/hop-headers", do_hop_headers},
 };
 
+/* Records that an id is handled under /once/; false if it was before. */
+static bool record_handled(const struct client *c)
+{
+	struct handled *e;
+
+	pthread_mutex_lock(&log_mutex);
+	SLIST_FOREACH(e, &handled_ids, entry)
+		if (strcmp(e->id, c->id) == 0)
+			break;
+	if (e != NULL) {
+		fprintf(log_file, "again %s\n", c->id);
+		fflush(log_file);
+		pthread_mutex_unlock(&log_mutex);
+		return false;
+	}
+	e = cs_xcalloc(1, sizeof(*e));
+	cs_copy(e->id, sizeof(e->id), c->id);
+	SLIST_INSERT_HEAD(&handled_ids, e, entry);
+	fprintf(log_file, "once %s %u\n", c->id, c->n_requests - 1);
+	fflush(log_file);
+	pthread_mutex_unlock(&log_mutex);
+	return true;
+}
+
 static void handle_request(struct client *c)
 {
 	const struct handler *h = NULL;
@@ -670,6 +829,14 @@
 		path += 7;
 	else if (strncmp(path, "/download/", 10) == 0)
 		path += 9;
+	if (strncmp(path, "/once/", 6) == 0) {
+		if (!record_handled(c)) {
+			send_refusal(c);
+			c->close = c->content_length != 0;
+			return;
+		}
+		path += 5;
+	}
 	for (i = 0; i < sizeof(handlers) / sizeof(handlers[0]); i++) {
 		n = strlen(handlers[i].prefix);
 		if (strncmp(path, handlers[i].prefix, n) == 0 &&
