node: a refusal that contradicts itself is no promise

Cause: any 421 and any response with the header were believed. PROTOCOL.md: a response with the header states that the request did not run (503, 429, 421, 400 without an id); no other response states this. Any server but the expected one answers 421.

Evidence: node-promise.sh on the code before: 30 of 36 unsafe requests that ran were answered 503, each within 15 of 18 sets of marks; the same for 15 safe ones.

Change: refusal.c decides by the status, the header, the signature, the server that is named, and whether the response may belong to another request. A contradiction counts as a request that may have run: 502 for one that may run once, a new attempt for one that may be repeated. A 421 without a promise, or a refusal that names another server, still ends the use of the address until a health check: its attempt ends as misdirected for lib/steer, and as one that may have run for the request. The 421 of standin-platform has the header now, as that of a server has.

Run: test-refusal, test-transfer, test-proxyd, test-platform, test-node-wire, node-promise, node-faulty, node-path pass.

--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "src/node/node.h"
+#include "src/node/refusal.h"
 
 static void on_progress(struct cs_transfer *t, void *arg);
 static void on_body_consumed(struct cs_transfer *t, void *arg);
@@ -116,14 +117,14 @@
 	requests_schedule_dispatch(n);
 }
 
-/* True if the response comes from the server that the attempt was sent to. */
-static bool is_from_server(const struct attempt *a)
+/* The server that the response names: a reused address may belong to another one by now. */
+static enum refusal_server named_server(const struct attempt *a)
 {
-	const struct head *h = cs_transfer_head(a->transfer);
-	const char *server = head_get(h, PLATFORM_H_SERVER_ID);
+	const char *server = head_get(cs_transfer_head(a->transfer), PLATFORM_H_SERVER_ID);
 
-	/* A reused address may belong to another server by now. */
-	return server == NULL || strcmp(server, a->server) == 0;
+	if (server == NULL)
+		return REFUSAL_SERVER_UNNAMED;
+	return strcmp(server, a->server) == 0 ? REFUSAL_SERVER_EXPECTED : REFUSAL_SERVER_OTHER;
 }
 
 /* True if the response has the id of the request, so that no other request caused it. */
@@ -142,7 +143,7 @@
 	if (a->head_recorded || !cs_transfer_has_head(a->transfer))
 		return;
 	a->head_recorded = true;
-	if (!is_from_server(a))
+	if (named_server(a) == REFUSAL_SERVER_OTHER)
 		return;
 	if (cs_transfer_status(a->transfer) != 421)
 		notice_record(a->req->node, a->backend, a->transfer, a->started_us, a->req->id,
@@ -159,35 +160,67 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/* Classifies a response whose header section has arrived. */
-static enum attempt_result classify_head(struct attempt *a, const char **why)
+/* Classifies a response whose header section has arrived if it is a refusal. */
+static enum refusal classify_refusal(const struct attempt *a)
 {
-	const struct head *h = cs_transfer_head(a->transfer);
-	unsigned status = cs_transfer_status(a->transfer);
-	bool not_executed = head_get(h, PLATFORM_H_NOT_EXECUTED) != NULL;
+	const struct cs_transfer *t = a->transfer;
+	const struct head *h = cs_transfer_head(t);
+	struct refusal_marks marks = {.status = cs_transfer_status(t),
+				      .not_executed = head_get(h, PLATFORM_H_NOT_EXECUTED) != NULL,
+				      .signature = head_get(h, PLATFORM_H_SIGNATURE) != NULL,
+				      .own = cs_transfer_is_own_response(t),
+				      .request_has_id = *a->req->id != '\0',
+				      .server = named_server(a)};
 
-	*why = "refusal_of_another_request";
-	if ((status == 421 || not_executed) && !cs_transfer_is_own_response(a->transfer))
-		return ATTEMPT_UNUSABLE;
-	if (status == 421)
-		return ATTEMPT_MISDIRECTED;
-	if (not_executed)
-		return ATTEMPT_NOT_EXECUTED;
+	return refusal_of(&marks);
+}
+
+/* Classifies a response that is no refusal. */
+static enum attempt_result classify_answer(struct attempt *a, const char **why)
+{
 	*why = "answer_without_signature";
-	if (head_get(h, PLATFORM_H_SIGNATURE) == NULL)
+	if (head_get(cs_transfer_head(a->transfer), PLATFORM_H_SIGNATURE) == NULL)
 		return ATTEMPT_UNUSABLE;
 	*why = "answer_without_request_id";
 	if (!has_request_id(a))
 		return ATTEMPT_UNUSABLE;
 	/* Forwarding such a status would tell the client that the request did not run. */
 	*why = "status_promises_not_run";
-	if (is_not_executed_status(status))
+	if (is_not_executed_status(cs_transfer_status(a->transfer)))
 		return ATTEMPT_UNUSABLE;
 	if (cs_transfer_state(a->transfer) == CS_TRANSFER_COMPLETE)
 		return ATTEMPT_COMPLETE;
 	return cs_transfer_overflows(a->transfer) ? ATTEMPT_STREAMING : ATTEMPT_PENDING;
 }
 
+/* Classifies a response whose header section has arrived. */
+static enum attempt_result classify_head(struct attempt *a, const char **why)
+{
+	switch (classify_refusal(a)) {
+	case REFUSAL_NONE:
+		break;
+	case REFUSAL_NOT_EXECUTED:
+		*why = "the server did not run it";
+		return ATTEMPT_NOT_EXECUTED;
+	case REFUSAL_MISDIRECTED:
+		*why = "another server uses the address";
+		return ATTEMPT_MISDIRECTED;
+	case REFUSAL_OF_ANOTHER_REQUEST:
+		*why = "refusal_of_another_request";
+		return ATTEMPT_UNUSABLE;
+	case REFUSAL_CONTRADICTORY:
+		*why = "contradictory_refusal";
+		return ATTEMPT_UNUSABLE;
+	case REFUSAL_UNSURE_ADDRESS:
+		*why = "contradictory_refusal";
+		return ATTEMPT_UNSURE_ADDRESS;
+	}
+	/* Without its end, only a refusal is conclusive. */
+	if (cs_transfer_state(a->transfer) == CS_TRANSFER_FAILED)
+		return ATTEMPT_UNUSABLE;
+	return classify_answer(a, why);
+}
+
 enum attempt_result node_attempt_classify(struct attempt *a, const char **why)
 {
 	struct cs_transfer *t = a->transfer;
@@ -201,16 +234,10 @@
 		return ATTEMPT_PENDING;
 	case CS_TRANSFER_HEAD:
 	case CS_TRANSFER_COMPLETE:
-		return classify_head(a, why);
 	case CS_TRANSFER_FAILED:
 		break;
 	}
-	/* A header section that reports "not run" is conclusive even if the body was lost. */
-	if (cs_transfer_has_head(t) &&
-	    (cs_transfer_status(t) == 421 ||
-	     head_get(cs_transfer_head(t), PLATFORM_H_NOT_EXECUTED) != NULL))
-		return classify_head(a, why);
-	return ATTEMPT_UNUSABLE;
+	return cs_transfer_has_head(t) ? classify_head(a, why) : ATTEMPT_UNUSABLE;
 }
 
 static void on_progress(struct cs_transfer *t, void *arg)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -178,6 +178,7 @@
 	ATTEMPT_MISDIRECTED, /* another server uses the address */
 	ATTEMPT_UNSENT,
 	ATTEMPT_WITHHELD, /* not sent: the server became unusable since it was chosen */
+	ATTEMPT_UNSURE_ADDRESS, /* unusable, and another server may use the address */
 	ATTEMPT_UNUSABLE /* may have run, but there is no response to forward */
 };
 enum attempt_result node_attempt_classify(struct attempt *a, const char **why);
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -402,10 +402,10 @@
 
 /* An attempt ended without a response that can be forwarded. */
 static void request_attempt_failed(struct request *req, struct attempt *a,
-				   enum cs_steer_outcome outcome, const char *why)
+				   enum cs_steer_outcome outcome, bool may_have_run,
+				   const char *why)
 {
 	struct node *n = req->node;
-	bool may_have_run = outcome == CS_STEER_ERROR;
 	const struct head *h = cs_transfer_head(a->transfer);
 	struct cs_transfer_connection conn;
 
@@ -458,20 +458,22 @@
 		request_stream(req, a);
 		break;
 	case ATTEMPT_NOT_EXECUTED:
-		request_attempt_failed(req, a, CS_STEER_SHED, "the server did not run it");
+		request_attempt_failed(req, a, CS_STEER_SHED, false, why);
 		break;
 	case ATTEMPT_MISDIRECTED:
-		request_attempt_failed(req, a, CS_STEER_MISDIRECTED,
-				       "another server uses the address");
+		request_attempt_failed(req, a, CS_STEER_MISDIRECTED, false, why);
 		break;
 	case ATTEMPT_UNSENT:
-		request_attempt_failed(req, a, CS_STEER_UNSENT, why);
+		request_attempt_failed(req, a, CS_STEER_UNSENT, false, why);
 		break;
 	case ATTEMPT_WITHHELD:
-		request_attempt_failed(req, a, CS_STEER_WITHHELD, why);
+		request_attempt_failed(req, a, CS_STEER_WITHHELD, false, why);
+		break;
+	case ATTEMPT_UNSURE_ADDRESS:
+		request_attempt_failed(req, a, CS_STEER_MISDIRECTED, true, why);
 		break;
 	case ATTEMPT_UNUSABLE:
-		request_attempt_failed(req, a, CS_STEER_ERROR, why);
+		request_attempt_failed(req, a, CS_STEER_ERROR, true, why);
 		break;
 	}
 }
--- a/tests/run/check.d/node-promise.sh
+++ b/tests/run/check.d/node-promise.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Guards against a client that is told "not run" by 503, 429, 421 or 408 although a server ran its request, because the
-# request was sent again after a send that broke.
+# Guards against a client that is told "not run" by 503, 429, 421 or 408 although a server ran its request: because of a
+# refusal that contradicts itself or lacks the header, or because the request was sent again after a send that broke.
 # REPEATS sets how often each broken send is tried.
 . "$(dirname "$0")/../node-lib.sh"
 start_all
@@ -9,6 +9,8 @@
 head -c 2000000 /dev/zero | tr '\0' b >"$dir/large"
 n=0
 
+usable() { [ "$(status /safe/ok)" = "200 0" ]; }
+
 # once KIND CONNECTION PATH [CURL-ARGUMENTS...]: sends a request under /once/ on a new connection to the server or on one
 # that was used just before; sets answer, runs, again and before, the number of earlier requests on the connection.
 once() {
@@ -31,8 +33,38 @@
 	before=$(awk -v id="$id" '$1 == "once" && $2 == id { print $3 }' "$dir/faulty.txt")
 }
 
+health_checks() {
+	curl -sS "http://127.$run.1.1:9464/metrics" | awk '$1 == "cassia_node_probes_total" { print $2 }'
+}
+
 is_promise() { [[ $1 =~ ^(503|429|421|408)$ ]]; }
 
+# Responses to requests that ran, with the marks that standin-faulty describes.
+for marks in 421 421-s 421-he 421-hs 503 503-hs 503-ho 503-hos 429 429-hs 408 408-h 400-h 200-h 200-hs 204-h 500-h 500-hs; do
+	for args in "" "-d x"; do
+		# shellcheck disable=SC2086
+		once unsafe new "answer/$marks" $args
+		ok "an unsafe request that ran is not promised not to have: $marks $args ($answer, runs: $runs, refused: $again)" \
+			has "$answer $runs $again" '^50[24] 1 0$'
+		wait_for 5 usable || ok "the server is used again after $marks" false
+	done
+	once safe new "answer/$marks"
+	is_promise "$answer" && ok "a safe request that ran is not promised not to have: $marks ($answer)" false
+	wait_for 5 usable || ok "the server is used again after $marks" false
+done
+# Whether the header is there or not, an address that answers 421 needs a health check.
+for marks in 421 421-hn; do
+	checks_before=$(health_checks)
+	once unsafe new "answer/$marks"
+	wait_for 5 usable || ok "the server is used again after $marks" false
+	ok "an address is checked after $marks" [ "$(health_checks)" -gt "$checks_before" ]
+done
+for marks in 503-hn 429-hn 421-hn; do
+	once unsafe new "answer/$marks"
+	ok "a refusal is passed on as one: $marks ($answer, runs: $runs)" [ "$answer $runs" = "503 0" ]
+	wait_for 5 usable || ok "the server is used again after $marks" false
+done
+
 body_args() {
 	case $1 in
 	none) ;;
--- a/tests/standins/platform/server.c
+++ b/tests/standins/platform/server.c
@@ -210,6 +210,7 @@
 	}
 	if (expected != NULL && strcmp(expected, s->id) != 0) {
 		add_common_headers(s, req, id);
+		cs_http_add_header(req, "Cassiascale-Not-Executed", "1");
 		cs_http_reply(req, 421, "text/plain", "", 0);
 		return;
 	}
