--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -346,6 +346,13 @@
 	c->close = true;
 }
 
+static void do_slow_die(struct client *c, long long n)
+{
+	if (read_request(c))
+		usleep((useconds_t)(n * 1000));
+	c->close = true;
+}
+
 /* Refuses without reading the body; a connection with an unread body cannot be reused. */
 static void do_refuse(struct client *c, long long n)
 {
@@ -756,6 +763,7 @@
 	{"/truncate/", do_truncate},
 	{"/truncate-chunked/", do_truncate_chunked},
 	{"/die", do_die},
+	{"/slow-die/", do_slow_die},
 	{"/refuse", do_refuse},
 	{"/refuse-for/", do_refuse_for},
 	{"/reject", do_reject},
