node: a response with an id is none to a request without one

What callers saw: a request without Cassiascale-Attempt-Id on a kept connection got the late second response to the request before it: 200 with the status, body and signature of another request (MIXED).

Cause: the header was named to the transfer only for requests with an id, so that for others no response was compared, although requests without an id are sent on a connection only once for this comparison.

Change: the header is always named; a request without an id expects a response without one.

--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -35,7 +35,7 @@
 		.method = cs_call_method(req->call),
 		.target = cs_call_target(req->call),
 		.lines = a->headers,
-		.id_name = *req->id != '\0' ? PLATFORM_H_REQUEST_ID : NULL,
+		.id_name = PLATFORM_H_REQUEST_ID,
 		.id = req->id,
 		.body = req->has_body ? &req->body : NULL,
 		.body_buffered = !req->body_streaming,
--- a/tests/run/check.d/node-faulty.sh
+++ b/tests/run/check.d/node-faulty.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# Guards against a client that is told "not run" because of a refusal of an earlier request, that gets a complete
-# response although the server stopped in its head, against a server whose head never ends, and against requests to a
-# server within the Retry-After of a refusal without the request's id.
+# Guards against a client that is told "not run" because of a refusal of an earlier request, that gets the response to
+# an earlier request because its own has no id, that gets a complete response although the server stopped in its head,
+# against a server whose head never ends, and against requests to a server within the Retry-After of a refusal without
+# the request's id.
 . "$(dirname "$0")/../node-lib.sh"
 start_all
 start_faulty_only
@@ -12,6 +13,13 @@
 		[ "$(status "/$kind/slow/150" -d "r-$i")" = "503 0" ] && refused=$((refused + 1))
 	done
 	ok "no $kind request is refused because of an earlier refusal (refused: $refused)" [ $refused = 0 ]
+	foreign=0
+	for i in $(seq 6); do
+		status /safe/late/60 >/dev/null
+		a=$(curl -sS --max-time 8 "http://127.$run.1.1:8144/$kind/slow/150" -H 'Host: h.example' -d "f-$i")
+		[ "$a" = stray ] && foreign=$((foreign + 1))
+	done
+	ok "no $kind request without an id gets the response to an earlier one (got: $foreign)" [ $foreign = 0 ]
 	for n in 0 3; do
 		a=$(status "/$kind/cut-head/$n" -d x)
 		ok "a head of $n lines that ends early gives no success: $kind, $a" has "$a" '^50[24] 0'
