tests: requests that are lost while the instance stops

node-promise.sh: requests that ran, and whose server closes the connection before or after the end of the process, are answered 502 or 504.

--- a/tests/run/check.d/node-promise.sh
+++ b/tests/run/check.d/node-promise.sh
@@ -23,7 +23,7 @@
 	n=$((n + 1))
 	id=p-$run-$n
 	local args=(-sS -o "$dir/body" -w '%{http_code}' --max-time 8 -H 'Host: h.example' -H "Cassiascale-Attempt-Id: $id"
-		-H 'Cassiascale-Deadline-Milliseconds: 3000' "$@" "http://127.$run.1.1:8144/$kind/once/$path")
+		-H "Cassiascale-Deadline-Milliseconds: ${deadline:-3000}" "$@" "http://127.$run.1.1:8144/$kind/once/$path")
 	if [ "$connection" = kept ]; then
 		args=(-sS -o /dev/null -H 'Host: h.example' -H "Cassiascale-Attempt-Id: $id-first"
 			-H 'Cassiascale-Deadline-Milliseconds: 3000' "http://127.$run.1.1:8144/$kind/ok" --next "${args[@]}")
@@ -134,4 +134,24 @@
 ok "a refusal before the end of a body is passed on as one ($answer, runs: $runs)" [ "$answer $runs" = "503 0" ]
 client="timeout -s KILL 0.5 curl" once unsafe new answer/200-s -T - -X POST -H Expect: < <(slow_body 3)
 ok "a body that is cut is not sent again (runs: $runs, refused: $again)" [ "$runs $again" = "0 0" ]
+# An instance that stops while its requests are lost, one of them at work until the end of the process.
+document 6 9000
+sleep 1
+lost=""
+for request in unsafe/slow-die/1500 safe/slow-die/1500 unsafe/slow-die/8500 safe/slow-die/8500; do
+	n=$((n + 1))
+	(
+		deadline=8000 once "${request%%/*}" kept "${request#*/}"
+		echo "$answer $runs" >"$dir/stop-${request//\//-}"
+	) &
+	lost="$lost $!"
+done
+sleep 0.5
+kill -TERM "$pid_node1"
+# shellcheck disable=SC2086
+wait $lost
+for request in "$dir"/stop-*; do
+	a=$(cat "$request")
+	ok "a stopping instance makes no promise for ${request##*/stop-} ($a)" has "$a" '^50[24] 1$'
+done
 finish
