tests: list of handled ids in a form that cppcheck reads

cppcheck reported a syntax error for SLIST_HEAD without a name; tests/run/cppcheck.h knows LIST_HEAD.

--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -52,11 +52,11 @@
 
 /* An id that was handled under /once/. */
 struct handled {
-	SLIST_ENTRY(handled) entry;
+	LIST_ENTRY(handled) entry;
 	char id[80];
 };
 
-static SLIST_HEAD(, handled) handled_ids = SLIST_HEAD_INITIALIZER(handled_ids);
+static LIST_HEAD(, handled) handled_ids = LIST_HEAD_INITIALIZER(handled_ids);
 static FILE *log_file;
 static unsigned own_port;
 static pthread_mutex_t log_mutex = PTHREAD_MUTEX_INITIALIZER;
@@ -807,7 +807,7 @@
 	struct handled *e;
 
 	pthread_mutex_lock(&log_mutex);
-	SLIST_FOREACH(e, &handled_ids, entry)
+	LIST_FOREACH(e, &handled_ids, entry)
 		if (strcmp(e->id, c->id) == 0)
 			break;
 	if (e != NULL) {
@@ -818,7 +818,7 @@
 	}
 	e = cs_xcalloc(1, sizeof(*e));
 	cs_copy(e->id, sizeof(e->id), c->id);
-	SLIST_INSERT_HEAD(&handled_ids, e, entry);
+	LIST_INSERT_HEAD(&handled_ids, e, entry);
 	fprintf(log_file, "once %s %u\n", c->id, c->n_requests - 1);
 	fflush(log_file);
 	pthread_mutex_unlock(&log_mutex);
