tests: guard against the rest of a copy behind a refusal

libcurl 7.88 discards what it reads together with a response of length 0 and keeps the connection. With each number of bytes of the copy in the segment of the refusal, from none to all, the next request on the connection never ends with the copy. Passes; without the comparison of ids it fails: (503 == 200).

--- a/tests/unit/test-transfer.c
+++ b/tests/unit/test-transfer.c
@@ -345,6 +345,58 @@
 	check_late_copy_of_refusal(false);
 }
 
+#define REFUSAL "HTTP/1.1 503 No\r\nX-Id: one\r\nContent-Length: 0\r\n\r\n"
+
+/*
+ * Guards against the copy of a refusal, or the rest of one whose first bytes were discarded with
+ * the refusal, that is taken for the response to the next request.
+ */
+static void check_copy_behind_refusal(size_t n_together)
+{
+	int fd, new_fd, i;
+	char first[256];
+	struct fixture f;
+
+	fixture_init(&f);
+	start_transfer(&f);
+	run_until(&f, CS_TRANSFER_SENT);
+	fd = accept(f.listener, NULL, NULL);
+	ev_run(f.loop, EVRUN_NOWAIT);
+	snprintf(first, sizeof(first), REFUSAL "%.*s", (int)n_together, REFUSAL);
+	serve_request(fd, first);
+	run_until(&f, CS_TRANSFER_COMPLETE);
+	g_assert_cmpint(fcntl(f.listener, F_SETFL, O_NONBLOCK), ==, 0);
+	set_id(&f, "two");
+	start_transfer(&f);
+	run_until(&f, CS_TRANSFER_SENT);
+	ev_run(f.loop, EVRUN_NOWAIT);
+	send(fd, &REFUSAL[n_together], strlen(REFUSAL) - n_together, MSG_NOSIGNAL);
+	new_fd = accept(f.listener, NULL, NULL);
+	serve_request(new_fd >= 0 ? new_fd : fd, RESPONSE("two", ""));
+	for (i = 0; i < ITERATIONS_MAX && cs_transfer_state(f.transfer) < CS_TRANSFER_COMPLETE;
+	     i++) {
+		ev_run(f.loop, EVRUN_NOWAIT);
+		g_usleep(1000);
+	}
+	if (cs_transfer_state(f.transfer) == CS_TRANSFER_COMPLETE)
+		g_assert_cmpuint(cs_transfer_status(f.transfer), ==, 200);
+	else
+		g_assert_cmpint(cs_transfer_state(f.transfer), ==, CS_TRANSFER_FAILED);
+	g_assert_false(cs_transfer_has_head(f.transfer) && cs_transfer_status(f.transfer) != 200);
+	if (new_fd >= 0)
+		close(new_fd);
+	close(fd);
+	fixture_destroy(&f);
+}
+
+static void test_copy_behind_refusal(void)
+{
+	size_t n;
+
+	for (n = 0; n <= strlen(REFUSAL); n++)
+		check_copy_behind_refusal(n);
+}
+
 /* Sends a request and answers it; returns true if it came over the connection fd. */
 static bool is_sent_on(struct fixture *f, int fd, const char *id)
 {
@@ -471,6 +523,7 @@
 	g_test_add_func("/transfer/late-copy-of-refusal", test_late_copy_of_refusal);
 	g_test_add_func("/transfer/late-copy-of-refusal-repeatable",
 			test_late_copy_of_refusal_repeatable);
+	g_test_add_func("/transfer/copy-behind-refusal", test_copy_behind_refusal);
 	g_test_add_func("/transfer/no-id-once-per-connection", test_no_id_once_per_connection);
 	g_test_add_func("/transfer/no-id-refuses-response-with-id",
 			test_no_id_refuses_response_with_id);
