tests: a cut copy and the response to a request make a refusal together

node-cut-copy fails on this code: 7 of 7 requests that ran were answered 503, 4 of them unsafe ones. A server sends only part of the copy of a refusal, then the response to the request; or the response is cut in its head and the copy follows. If the cut is in the value of a line or in the status line, libcurl takes both for one head. It has the id of the request, which was sent on the connection once, and says "not executed", or 421: send.failed logged has_id=1 not_executed=1 signature=1, with status 503 or 200. classify_head() looks neither at the signature nor at the status beside Not-Executed, and believes a 421 without it.

--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -421,6 +421,34 @@
 	send_all(c, refusal, sizeof(refusal) - 1);
 }
 
+/*
+ * Sends part of the copy of a refusal of an earlier request, then the response. The part ends in
+ * the value of a header line (n = 0) or in the status line of a 421 (n = 1). Otherwise the response
+ * is cut in its head, behind its signature (n = 2) or its id (n = 3), and the copy follows.
+ */
+static void do_cut_copy(struct client *c, long long n)
+{
+	char *end;
+
+	if (!read_request(c))
+		return;
+	if (n == 0)
+		send_literal(c, "HTTP/1.1 503 Status\r\nCassiascale-Not-Executed: 1\r\nDate: Su");
+	else if (n == 1)
+		send_literal(c, "HTTP/1.1 421 Sta");
+	if (n < 2) {
+		send_text(c, 200, "", "ran\n");
+		return;
+	}
+	end = strstr(c->answer_lines, "\r\n");
+	if (n == 3 && end != NULL)
+		end[2] = '\0';
+	send_literal(c, "HTTP/1.1 200 Status\r\n");
+	send_all(c, c->answer_lines, strlen(c->answer_lines));
+	send_literal(c, "Date: SuHTTP/1.1 503 Status\r\nCassiascale-Not-Executed: 1\r\n"
+			"Cassiascale-Attempt-Id: earlier\r\nContent-Length: 0\r\n\r\n");
+}
+
 /* Closes the connection in the middle of the head: n is the number of complete header lines. */
 static void do_cut_head(struct client *c, long long n)
 {
@@ -637,6 +665,7 @@
 	{"/late/", do_late},
 	{"/late-named/", do_late_named},
 	{"/late-refusal/", do_late_refusal},
+	{"/cut-copy/", do_cut_copy},
 	{"/cut-head/", do_cut_head},
 	{"/endless-head", do_endless_head},
 	{"/endless-lines", do_endless_lines},
