--- a/tests/unit/test-transfer-restart.c
+++ b/tests/unit/test-transfer-restart.c
@@ -16,13 +16,13 @@
 static bool bind_fails;
 
 /* Replaces that of the C library. */
-int bind(int fd, const struct sockaddr *sa, socklen_t len)
+int bind(int fd, const struct sockaddr *addr, socklen_t len)
 {
 	if (bind_fails) {
 		errno = EADDRNOTAVAIL;
 		return -1;
 	}
-	return (int)syscall(SYS_bind, fd, sa, len);
+	return (int)syscall(SYS_bind, fd, addr, len);
 }
 
 static void ignore_event(struct cs_transfer *t, void *arg)
