node: a response to a request with a long id is its own

What callers saw: 502 for a request that ran, if its id had more than 64 bytes.

Cause: the instance kept 64 bytes of the id, forwarded all of them, and compared the id of the response with what it kept. The ids in its own responses were cut as well.

Change: the whole id, which is part of the call, is compared and returned; its first 64 bytes are for logs.

Result: node-long-id passes; node-no-id, node-path and node-explain pass.

--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -36,7 +36,7 @@
 		.target = cs_call_target(req->call),
 		.lines = a->headers,
 		.id_name = PLATFORM_H_REQUEST_ID,
-		.id = req->id,
+		.id = req->full_id,
 		.body = req->has_body ? &req->body : NULL,
 		.body_buffered = !req->body_streaming,
 		.body_length = req->content_length,
@@ -130,7 +130,7 @@
 /* True if the response has the id of the request, so that no other request caused it. */
 static bool has_request_id(const struct attempt *a)
 {
-	return *a->req->id == '\0' ||
+	return *a->req->full_id == '\0' ||
 	       head_get(cs_transfer_head(a->transfer), PLATFORM_H_REQUEST_ID) != NULL;
 }
 
@@ -170,7 +170,7 @@
 				      .not_executed = head_get(h, PLATFORM_H_NOT_EXECUTED) != NULL,
 				      .signature = head_get(h, PLATFORM_H_SIGNATURE) != NULL,
 				      .own = cs_transfer_is_own_response(t),
-				      .request_has_id = *a->req->id != '\0',
+				      .request_has_id = *a->req->full_id != '\0',
 				      .server = named_server(a)};
 
 	return refusal_of(&marks);
--- a/src/node/frontend.c
+++ b/src/node/frontend.c
@@ -208,7 +208,8 @@
 
 	cs_call_set_data(call, req);
 	if (id != NULL)
-		cs_copy(req->id, sizeof(req->id), id);
+		req->full_id = id;
+	cs_copy(req->id, sizeof(req->id), req->full_id);
 	if (cs_call_closed_unread(call)) {
 		(*n->stats.closed_unread)++;
 		cs_event(n->events, CS_EVENT_IMPORTANT, "request.closed_unread", "id=%s", req->id);
@@ -317,9 +318,9 @@
 
 	n = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", error);
 	head_add(&headers, "Content-Type", 12, "application/json", 16);
-	if (*req->id != '\0')
-		head_add(&headers, PLATFORM_H_REQUEST_ID, strlen(PLATFORM_H_REQUEST_ID), req->id,
-			 strlen(req->id));
+	if (*req->full_id != '\0')
+		head_add(&headers, PLATFORM_H_REQUEST_ID, strlen(PLATFORM_H_REQUEST_ID),
+			 req->full_id, strlen(req->full_id));
 	if (retry_after_ms > 0) {
 		snprintf(text, sizeof(text), "%.3f", retry_after_ms / 1000.0);
 		head_add(&headers, "Retry-After", 11, text, strlen(text));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -68,7 +68,8 @@
 	struct cs_call *call;
 	enum request_stage stage;
 	struct cs_steer_request steer_state;
-	char id[REQUEST_ID_SIZE];
+	const char *full_id; /* as the client sent it, in the call's headers; "" if there is none */
+	char id[REQUEST_ID_SIZE]; /* its beginning, for logs */
 	char route[CS_NAME_MAX];
 	enum cs_repeat repeat;
 	struct curl_slist *headers; /* headers for servers, in one allocation */
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -20,6 +20,7 @@
 
 	req->node = n;
 	req->call = call;
+	req->full_id = "";
 	TAILQ_INIT(&req->attempts);
 	ring_init(&req->body, BODY_BUFFER_MAX);
 	cs_timer_init(&req->deadline_timer, on_deadline, req);
