proxy: a response with two ids belongs to no request

What callers saw: nothing beside the refusals that contradict themselves. A response that is cut in its head, and the copy of another one behind it, are read as one head; with the id of the request first and that of the other one second, statements of the other one counted, a Retry-After among them.

Change: each id of a response is compared, not only the first.

--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -536,18 +536,32 @@
 	t->status = p ? (unsigned)strtoul(p, NULL, 10) : 0;
 }
 
+/* Looks for the id of the request; false if the response has another one. */
+static bool parse_id(struct cs_transfer *t)
+{
+	const char *name, *value;
+	size_t at = 0;
+
+	while (t->opts.id_name != NULL && head_next(&t->head, &at, &name, &value)) {
+		if (strcasecmp(name, t->opts.id_name) != 0)
+			continue;
+		if (strcmp(value, request_id(t)) != 0)
+			return false;
+		t->has_id = true;
+	}
+	return true;
+}
+
 /* Evaluates the complete headers; returns false if they belong to a response to another request. */
 static bool parse_head(struct cs_transfer *t)
 {
 	const char *length = head_get(&t->head, "Content-Length");
 	const char *coding = head_get(&t->head, "Transfer-Encoding");
-	const char *id = t->opts.id_name ? head_get(&t->head, t->opts.id_name) : NULL;
 
-	if (id != NULL && strcmp(id, request_id(t)) != 0) {
+	if (!parse_id(t)) {
 		t->error = "response belongs to another request";
 		return false;
 	}
-	t->has_id = id != NULL;
 	t->has_head = true;
 	t->state = CS_TRANSFER_HEAD;
 	t->bodiless = t->status == 204 || t->status == 304 || strcmp(t->opts.method, "HEAD") == 0;
--- a/tests/unit/test-transfer.c
+++ b/tests/unit/test-transfer.c
@@ -477,6 +477,34 @@
 	fixture_destroy(&f);
 }
 
+/*
+ * Guards against a response that is cut in its head and the copy of another one that follows: read
+ * as one head, they have the id of the request and what the other response states.
+ */
+static void test_two_ids_refused(void)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 503 No\r\nX-Id: one\r\nX-Id: two\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 No\r\nX-Id: two\r\nX-Id: one\r\nContent-Length: 0\r\n\r\n",
+	};
+	struct fixture f;
+	unsigned i;
+	int fd;
+
+	for (i = 0; i < G_N_ELEMENTS(heads); i++) {
+		fixture_init(&f);
+		start_transfer(&f);
+		run_until(&f, CS_TRANSFER_SENT);
+		fd = accept(f.listener, NULL, NULL);
+		ev_run(f.loop, EVRUN_NOWAIT);
+		serve_request(fd, heads[i]);
+		run_until(&f, CS_TRANSFER_FAILED);
+		g_assert_false(cs_transfer_has_head(f.transfer));
+		close(fd);
+		fixture_destroy(&f);
+	}
+}
+
 /* Guards against a head that ends early and is taken for a complete response. */
 static void test_cut_head_fails(void)
 {
@@ -528,6 +556,7 @@
 	g_test_add_func("/transfer/no-id-refuses-response-with-id",
 			test_no_id_refuses_response_with_id);
 	g_test_add_func("/transfer/busy-connection-is-replaced", test_busy_connection_is_replaced);
+	g_test_add_func("/transfer/two-ids-refused", test_two_ids_refused);
 	g_test_add_func("/transfer/cut-head-fails", test_cut_head_fails);
 	return g_test_run();
 }
