proxyd: a refusal counts only if it belongs to the request

What callers saw: 503 with "ran": "no" for a request that may be repeated and that a server ran; and the response to that request, status 200, as the response to the next one.

Cause: cassia-proxyd believed "503, X-Ran: no" from any connection. On a connection that was used before, a refusal without X-Request-Id may be the copy of an earlier one. The connection was then used again, and the response to the refused request came when the next one was under way.

Evidence: proxy-refusal-copy fails on the code before in 8 checks.

Change: a refusal tells that a request did not run only if it has the id or is the first response on its connection. Otherwise the request counts as lost: it may be tried again, as it is idempotent, and else gets 502 with "ran": "unknown". The server is put into back-off in both cases. A connection with a refusal that lacks the id takes no further request. Requests that may run once have their own connection, and responses of other proxies the id, so nothing changes for them.

Why it works: the id is sent on a connection only once, so it tells a copy from a refusal; without it only a connection that carried nothing before does. A copy finds a connection that is no longer used.

The price is with servers that do not return the id: their refusals on used connections are 502 instead of 503. The connection is new after each of them.

Run: proxy-refusal-copy, proxy-answers, proxy-once, proxy-hop, proxy-limits, proxy-stop, proxy-input, node-faulty, test-transfer and test-proxyd pass.

--- a/lib/proxy/sockets.c
+++ b/lib/proxy/sockets.c
@@ -146,6 +146,14 @@
 		e->ids[e->sends++] = id_hash(id);
 }
 
+void sockets_retire(struct sockets *s, uint64_t key)
+{
+	struct entry *e = entry_find(s, key);
+
+	if (e != NULL)
+		e->sends = SENDS_MAX;
+}
+
 void sockets_touch(struct sockets *s, uint64_t key)
 {
 	struct entry *e = entry_find(s, key);
--- a/lib/proxy/sockets.h
+++ b/lib/proxy/sockets.h
@@ -25,6 +25,8 @@
 bool sockets_find(struct sockets *s, uint64_t key, const char *id, struct sockets_use *use);
 /* Records a request that is sent on the connection. */
 void sockets_record_send(struct sockets *s, uint64_t key, const char *id);
+/* The connection takes no more requests. */
+void sockets_retire(struct sockets *s, uint64_t key);
 /* Restarts the idle time when a request on the connection has ended. */
 void sockets_touch(struct sockets *s, uint64_t key);
 void sockets_remove(struct sockets *s, int fd);
--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -369,6 +369,11 @@
 	return t->has_id || t->connection.sends == 0;
 }
 
+void cs_transfer_retire_connection(struct cs_transfer *t)
+{
+	sockets_retire(t->pool->sockets, t->key);
+}
+
 void cs_transfer_connection(const struct cs_transfer *t, struct cs_transfer_connection *out)
 {
 	*out = (struct cs_transfer_connection){.serial = t->connection.serial,
--- a/lib/proxy/transfer.h
+++ b/lib/proxy/transfer.h
@@ -80,7 +80,9 @@
  * sent on one connection only once, or nothing else was sent on its connection.
  */
 bool cs_transfer_is_own_response(const struct cs_transfer *t);
-/* The connection that the request was sent on, for logs. */
+/* Sends no further request on the connection of this one. */
+void cs_transfer_retire_connection(struct cs_transfer *t);
+/* The connection that the request was sent on. */
 struct cs_transfer_connection {
 	uint64_t serial; /* 0: not sent */
 	unsigned earlier_sends; /* requests sent on it before this one */
--- a/src/proxyd/attempt.c
+++ b/src/proxyd/attempt.c
@@ -174,6 +174,23 @@
 	       cs_transfer_state(att->transfer) != CS_TRANSFER_UNSENT;
 }
 
+/*
+ * Without the request's id, a refusal on a connection that was used before may be that of an
+ * earlier request, and this one may have run. Nothing further is sent on a connection on which such
+ * a refusal was received: a copy of it, or the response to this request, may follow.
+ */
+static void process_refusal(struct attempt *att)
+{
+	struct cs_transfer_connection conn;
+
+	att->refused = true;
+	if (cs_transfer_is_own_response(att->transfer))
+		att->state = ATTEMPT_REFUSED;
+	cs_transfer_connection(att->transfer, &conn);
+	if (!conn.has_id)
+		cs_transfer_retire_connection(att->transfer);
+}
+
 /* Evaluates the complete response headers. */
 static void process_head(struct attempt *att)
 {
@@ -186,10 +203,8 @@
 	att->length = cs_transfer_length(att->transfer);
 	att->framing = cs_transfer_framing(att->transfer);
 	if (ran != NULL && strcasecmp(ran, "no") == 0 &&
-	    (att->kind == ATTEMPT_HOP || att->status == 503)) {
-		att->refused = true;
-		att->state = ATTEMPT_REFUSED;
-	}
+	    (att->kind == ATTEMPT_HOP || att->status == 503))
+		process_refusal(att);
 }
 
 void attempt_report_server_state(struct attempt *att)
--- a/src/proxyd/proxyd.h
+++ b/src/proxyd/proxyd.h
@@ -36,7 +36,7 @@
 	ATTEMPT_NOT_SENT, /* no byte of the request was sent */
 	ATTEMPT_SENT,
 	ATTEMPT_RESPONDED, /* response headers were received */
-	ATTEMPT_REFUSED, /* the response states that the request did not run */
+	ATTEMPT_REFUSED, /* the response states that this request did not run */
 	ATTEMPT_LOST /* sent, but no complete response will arrive */
 };
 
@@ -70,7 +70,7 @@
 	bool has_head;
 	bool state_reported; /* the server state in the response was reported to the policy */
 	bool no_body;
-	bool refused; /* the response states that the request did not run */
+	bool refused; /* the response is a refusal, possibly of an earlier request */
 	bool complete; /* ended with a complete response */
 	bool failed; /* ended without a complete response */
 	enum cs_framing framing;
--- a/src/proxyd/request.c
+++ b/src/proxyd/request.c
@@ -368,9 +368,9 @@
 
 	if (att->state == ATTEMPT_NOT_SENT)
 		outcome = CS_OUTCOME_UNSENT;
-	else if (att->state == ATTEMPT_REFUSED)
+	else if (att->refused)
 		outcome = CS_OUTCOME_REFUSED;
-	else
+	if (attempt_may_have_run(att))
 		req->ran = RAN_UNKNOWN;
 	attempt_end(att, outcome);
 	TAILQ_FOREACH(a, &req->attempts, entry)
--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -336,6 +336,24 @@
 	c->close = c->content_length != 0;
 }
 
+/* As do_refuse, but the response carries the request id. */
+static void do_refuse_named(struct client *c, long long n)
+{
+	char lines[128];
+
+	snprintf(lines, sizeof(lines), "X-Ran: no\r\nX-Request-Id: %s\r\n", c->id);
+	send_text(c, 503, lines, "not now\n");
+	c->close = c->content_length != 0;
+}
+
+/* As do_refuse, and n ms later sends the response once more. */
+static void do_refuse_twice(struct client *c, long long n)
+{
+	send_text(c, 503, "X-Ran: no\r\n", "not now\n");
+	usleep((useconds_t)(n * 1000));
+	send_text(c, 503, "X-Ran: no\r\n", "not now\n");
+}
+
 /* Refuses requests for n seconds, without the request's id. */
 static void do_refuse_for(struct client *c, long long n)
 {
@@ -629,6 +647,8 @@
 	{"/truncate-chunked/", do_truncate_chunked},
 	{"/die", do_die},
 	{"/refuse", do_refuse},
+	{"/refuse-named", do_refuse_named},
+	{"/refuse-twice/", do_refuse_twice},
 	{"/refuse-for/", do_refuse_for},
 	{"/reject", do_reject},
 	{"/slow/", do_slow},
--- a/tests/standins/servers/run.c
+++ b/tests/standins/servers/run.c
@@ -41,6 +41,8 @@
 static void run_respond(struct run *r, unsigned status, struct MHD_Response *resp)
 {
 	response_add_state(resp, r->server);
+	if (strcmp(r->id, "-") != 0)
+		MHD_add_response_header(resp, "X-Request-Id", r->id);
 	r->response = resp;
 	r->status = status;
 	r->responded = true;
