proxyd: no 408 for a request whose body a server received in part

What callers saw: 408, which tells that a request did not run, with "ran": "unknown" in the body, if the body of a streamed upload stalled for 5 s. The server had the head and a part of the body.

Cause: the timeout of the body gave 408 at every stage.

Evidence: "stalled body that a server received in part: 502" of proxy-bodies failed with 408.

Change: 408 only if nothing was sent to a server, else 502 with "ran": "unknown", as after any other attempt that was lost. The test "stalled body: 408" was of an upload that is streamed; it is replaced by one of a buffered body, with 408 and "ran": "no", and one of a streamed body.

Why it works: request_ran() is the same check that the deadline and refusals use.

--- a/src/proxyd/request.c
+++ b/src/proxyd/request.c
@@ -504,6 +504,12 @@
 static void on_body_idle(struct cs_timer *t, void *arg)
 {
 	struct request *req = arg;
+	enum ran ran = request_ran(req);
 
-	request_error(req, 408, "slow_body", request_ran(req), "no byte of the body came for 5 s");
+	/* Status 408 tells the client that the request did not run. */
+	if (ran == RAN_NO)
+		request_error(req, 408, "slow_body", ran, "no byte of the body came for 5 s");
+	else
+		request_error(req, 502, "lost", ran,
+			      "no byte of the body came for 5 s; a server received a part of it");
 }
--- a/tests/run/check.d/proxy-bodies.sh
+++ b/tests/run/check.d/proxy-bodies.sh
@@ -54,7 +54,13 @@
 a=$(send_raw 'POST /ok HTTP/1.1\r\nHost: x\r\nX-Cassia-Class: lookups\r\nX-Cassia-Deadline-Ms: 700\r\nContent-Length: 10\r\n\r\nabc' 4)
 ok "body incomplete at the deadline: 408" has "$a" '^HTTP/1.1 408'
 ok "body incomplete at the deadline: not executed" has "$a" '"ran":"no"'
+send_raw 'POST /upload HTTP/1.1\r\nHost: x\r\nX-Cassia-Class: photos\r\nContent-Length: 100\r\n\r\nabc' 8 >"$dir/stalled" &
+stalled=$!
 a=$(send_raw 'POST /upload HTTP/1.1\r\nHost: x\r\nX-Cassia-Class: photos\r\nContent-Length: 100000\r\n\r\nabc' 8)
-ok "stalled body: 408" has "$a" '^HTTP/1.1 408'
+wait $stalled
+ok "stalled body: 408" has "$(cat "$dir/stalled")" '^HTTP/1.1 408'
+ok "stalled body: not executed" has "$(cat "$dir/stalled")" '"ran":"no"'
+ok "stalled body that a server received in part: 502" has "$a" '^HTTP/1.1 502'
+ok "stalled body that a server received in part: outcome unknown" has "$a" '"ran":"unknown"'
 ok "slow bodies are answered within 9 s" [ $((SECONDS - s)) -le 9 ]
 finish
