platform: a range response without a revision is malformed

What callers saw: nothing yet. A 200 that is the response to another call, such as {"revision":8} of a transaction or an empty body, was taken for a complete read of a store without keys, after which cassia-node removes all servers and zones from its state.

Cause: the decoder of a range took fields that are missing for zero and for an empty list.

Evidence: /platform-store/range-without-revision failed: (0 == 6), PLATFORM_OK instead of PLATFORM_BAD.

A watch is left as it was: whether one that ends without events has the field is not specified, and a response without events changes nothing.

--- a/tests/unit/test-platform-store.c
+++ b/tests/unit/test-platform-store.c
@@ -11,6 +11,8 @@
 
 #define LONG_BYTES 100000
 
+enum call_kind { CALL_GET, CALL_WATCH, CALL_RANGE };
+
 struct fixture {
 	struct ev_loop *loop;
 	struct cs_timers *timers;
@@ -54,8 +56,8 @@
 			(int)strlen(f->body));
 }
 
-/* Runs a watch, or the read of one key, whose response has the given body. */
-static void call(struct fixture *f, const char *key, const char *body)
+/* Makes a call of the kind whose response has the given body; a key is for CALL_GET. */
+static void call_kind(struct fixture *f, enum call_kind kind, const char *key, const char *body)
 {
 	struct platform_endpoint at = {.addr = "127.0.0.1"};
 	struct sockaddr_in sa = {.sin_family = AF_INET};
@@ -76,15 +78,28 @@
 	f->store = platform_store_create(f->curl, &at);
 	cs_timer_init(&f->serve_timer, on_serve, f);
 	cs_timer_start(f->timers, &f->serve_timer, 20 * CS_US_PER_MS);
-	if (key != NULL)
+	switch (kind) {
+	case CALL_GET:
 		platform_get(f->store, key, 1000, on_response, f);
-	else
+		break;
+	case CALL_WATCH:
 		platform_watch(f->store, PLATFORM_ALL_KEYS, 1, 100, 1000, NULL, on_response, f);
+		break;
+	case CALL_RANGE:
+		platform_range(f->store, PLATFORM_ALL_KEYS, "", 1000, on_response, f);
+		break;
+	}
 	while (!f->done && cs_mono_us() - start < 5 * CS_US_PER_S)
 		ev_run(f->loop, EVRUN_ONCE);
 	g_assert_true(f->done);
 }
 
+/* Runs a watch, or the read of one key, whose response has the given body. */
+static void call(struct fixture *f, const char *key, const char *body)
+{
+	call_kind(f, key != NULL ? CALL_GET : CALL_WATCH, key, body);
+}
+
 static void fixture_destroy(struct fixture *f)
 {
 	unsigned i;
@@ -179,11 +194,37 @@
 	}
 }
 
+/*
+ * Guards against a response to another call, such as a lease or a transaction, that is taken for a
+ * store without keys.
+ */
+static void test_range_without_revision(void)
+{
+	static const char *const bodies[] = {"",
+					     "{}",
+					     "[]",
+					     "{\"lease\":1,\"ttl-ms\":5000}",
+					     "{\"revision\":8}",
+					     "{\"items\":[]}"};
+	struct fixture f;
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		call_kind(&f, CALL_RANGE, NULL, bodies[i]);
+		g_assert_cmpint(f.status, ==, PLATFORM_BAD);
+		fixture_destroy(&f);
+	}
+	call_kind(&f, CALL_RANGE, NULL, "{\"items\":[],\"has-more\":false,\"at-revision\":8}");
+	g_assert_cmpint(f.status, ==, PLATFORM_OK);
+	fixture_destroy(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform-store/long-and-short-values", test_long_and_short_values);
 	g_test_add_func("/platform-store/value-like-a-mark", test_value_like_a_mark);
 	g_test_add_func("/platform-store/get-without-item", test_get_without_item);
+	g_test_add_func("/platform-store/range-without-revision", test_range_without_revision);
 	return g_test_run();
 }
