http: no read uses the connection of a write

What callers saw: nothing yet. A read of the store, or of a list of servers, could use the kept connection of an earlier write. If the store sends the response to the write once more, libcurl 7.88.1 takes it for the response to the read, also if it waits there before the read is sent.

Evidence: /fetch/response-to-write-not-read failed: (1 == 4), the read got the copy.

Change: the connection of a write is closed after its response.

Run: test-fetch, test-store, test-store-follow, test-platform and test-platform-store pass.

--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -85,9 +85,11 @@
 		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, opts->method);
 		/*
 		 * libcurl resends a request when a reused connection turns out to be closed, and a
-		 * write must not run twice.
+		 * write must not run twice. Nor may a read take what the connection of a write
+		 * still returns for its own response.
 		 */
 		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
 	}
 	cs_timer_init(&f->first_byte_timer, on_first_byte_timeout, f);
 	if (opts->first_byte_timeout_ms > 0)
--- a/tests/unit/test-fetch.c
+++ b/tests/unit/test-fetch.c
@@ -1,5 +1,6 @@
 /* Timeouts of cs_fetch, with a test server on a loopback socket. */
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -168,6 +169,64 @@
 	fixture_destroy(&f);
 }
 
+/*
+ * Runs a call, which the server responds to with the text; fd is the connection of an earlier call,
+ * or -1. Returns the connection that the request came on.
+ */
+static int serve_call(struct fixture *f, const char *method, int fd, const char *response)
+{
+	struct cs_fetch_opts opts = {.url = f->url,
+				     .method = method,
+				     .body = method != NULL ? "{}" : NULL,
+				     .body_len = method != NULL ? 2 : 0,
+				     .timeout_ms = 1000,
+				     .max_response = 100};
+	uint64_t start = cs_mono_us();
+	char buf[1024];
+	int new_fd = -1;
+
+	f->done = false;
+	f->len = 0;
+	g_assert_nonnull(cs_fetch_start(f->curl, &opts, on_result, f));
+	while (!f->done && cs_mono_us() - start < 5 * CS_US_PER_S) {
+		ev_run(f->loop, EVRUN_NOWAIT);
+		if (new_fd < 0)
+			new_fd = accept(f->listener, NULL, NULL);
+		if (new_fd >= 0)
+			fd = new_fd;
+		if (fd >= 0 && recv(fd, buf, sizeof(buf), MSG_DONTWAIT) > 0)
+			g_assert_cmpint(send(fd, response, strlen(response), MSG_NOSIGNAL), >, 0);
+		g_usleep(200);
+	}
+	g_assert_true(f->done);
+	return fd;
+}
+
+/* Guards against the copy of the response to a write that is taken for the response to a read. */
+static void test_response_to_write_not_read(void)
+{
+	static const char write_response[] = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nw";
+	static const char read_response[] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nread";
+	struct fixture f;
+	int fd, read_fd;
+
+	fixture_init(&f);
+	g_assert_cmpint(fcntl(f.listener, F_SETFL, O_NONBLOCK), ==, 0);
+	fd = serve_call(&f, "POST", -1, write_response);
+	g_assert_cmpuint(f.len, ==, 1);
+	send(fd, write_response, strlen(write_response), MSG_NOSIGNAL);
+	g_usleep(5000);
+	read_fd = serve_call(&f, NULL, fd, read_response);
+	g_assert_cmpint(f.code, ==, CURLE_OK);
+	g_assert_cmpuint(f.len, ==, 4);
+	g_assert_cmpint(read_fd, !=, fd);
+	/* Reads keep their connection. */
+	g_assert_cmpint(serve_call(&f, NULL, read_fd, read_response), ==, read_fd);
+	close(fd);
+	close(read_fd);
+	fixture_destroy(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -176,5 +235,6 @@
 	g_test_add_func("/fetch/slow-body-completes", test_slow_body_completes);
 	g_test_add_func("/fetch/silent-server-times-out-early", test_silent_server_times_out_early);
 	g_test_add_func("/fetch/total-timeout-applies-to-body", test_total_timeout_applies_to_body);
+	g_test_add_func("/fetch/response-to-write-not-read", test_response_to_write_not_read);
 	return g_test_run();
 }
