--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -81,13 +81,14 @@
 	}
 	f->headers = curl_slist_append(f->headers, "Expect:");
 	curl_easy_setopt(e, CURLOPT_HTTPHEADER, f->headers);
-	if (opts->method != NULL) {
+	if (opts->method != NULL)
 		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, opts->method);
-		/*
-		 * libcurl resends a request when a reused connection turns out to be closed, and a
-		 * write must not run twice. Nor may a read take what the connection of a write
-		 * still returns for its own response.
-		 */
+	/*
+	 * libcurl resends a request when a reused connection turns out to be closed, and a write
+	 * must not run twice. Nor may a read take what the connection of a write still returns for
+	 * its own response.
+	 */
+	if (opts->method != NULL || opts->own_connection) {
 		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
 	}
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -99,6 +99,7 @@
 struct cs_fetch_opts {
 	const char *method; /* NULL: GET */
 	const char *url;
+	bool own_connection; /* not shared with other calls; calls with a method have one anyway */
 	const char *interface; /* source IP or NULL */
 	const char *body; /* copied by cs_fetch_start */
 	size_t body_len;
--- a/tests/unit/test-platform-store.c
+++ b/tests/unit/test-platform-store.c
@@ -219,6 +219,35 @@
 	fixture_destroy(&f);
 }
 
+/*
+ * Guards against the copy of the response to a watch that waits on the connection and is taken for
+ * a store without keys.
+ */
+static void test_response_to_watch_not_range(void)
+{
+	static const char copy[] = "HTTP/1.1 200 OK\r\nContent-Length: 29\r\n\r\n"
+				   "{\"events\":[],\"at-revision\":8}";
+	uint64_t start = cs_mono_us();
+	struct fixture f;
+	int watch_fd;
+
+	call_kind(&f, CALL_WATCH, NULL, "{\"events\":[],\"at-revision\":8}");
+	watch_fd = f.fd;
+	g_assert_cmpint(send(watch_fd, copy, strlen(copy), MSG_NOSIGNAL), ==, (int)strlen(copy));
+	g_usleep(5000);
+	f.done = false;
+	f.body = "{\"items\":[{\"key\":\"servers/a\",\"value\":\"YQ==\",\"revision\":3}],"
+		 "\"has-more\":false,\"at-revision\":8}";
+	cs_timer_start(f.timers, &f.serve_timer, 20 * CS_US_PER_MS);
+	platform_range(f.store, PLATFORM_ALL_KEYS, "", 1000, on_response, &f);
+	while (!f.done && cs_mono_us() - start < 5 * CS_US_PER_S)
+		ev_run(f.loop, EVRUN_ONCE);
+	g_assert_cmpint(f.status, ==, PLATFORM_OK);
+	g_assert_cmpuint(f.n_items, ==, 1);
+	close(watch_fd);
+	fixture_destroy(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -226,5 +255,7 @@
 	g_test_add_func("/platform-store/value-like-a-mark", test_value_like_a_mark);
 	g_test_add_func("/platform-store/get-without-item", test_get_without_item);
 	g_test_add_func("/platform-store/range-without-revision", test_range_without_revision);
+	g_test_add_func("/platform-store/response-to-watch-not-range",
+			test_response_to_watch_not_range);
 	return g_test_run();
 }
