--- a/src/proxyd/request.c
+++ b/src/proxyd/request.c
@@ -368,9 +368,9 @@
 
 	if (att->state == ATTEMPT_NOT_SENT)
 		outcome = CS_OUTCOME_UNSENT;
-	else if (att->state == ATTEMPT_REFUSED)
+	else if (att->refused)
 		outcome = CS_OUTCOME_REFUSED;
-	else
+	if (attempt_may_have_run(att))
 		req->ran = RAN_UNKNOWN;
 	attempt_end(att, outcome);
 	TAILQ_FOREACH(a, &req->attempts, entry)
@@ -504,6 +504,12 @@
 static void on_body_idle(struct cs_timer *t, void *arg)
 {
 	struct request *req = arg;
+	enum ran ran = request_ran(req);
 
-	request_error(req, 408, "slow_body", request_ran(req), "no byte of the body came for 5 s");
+	/* Status 408 tells the client that the request did not run. */
+	if (ran == RAN_NO)
+		request_error(req, 408, "slow_body", ran, "no byte of the body came for 5 s");
+	else
+		request_error(req, 502, "lost", ran,
+			      "no byte of the body came for 5 s; a server received a part of it");
 }
