tests: late copies of refusals, with the program

With the program this needs no change of the constants: the back-off of 100 ms does not hold if several entries name one address, if a health check passes after a 421, or if a new entry has another start time.

Change: standin-faulty refuses a request with 503 or 421, keeps the refusal and sends it again behind the next request on the connection, the next one with the id, or after a time; then it runs the request.

--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -1,8 +1,9 @@
 /*
  * Backend server for failure tests: the request path selects how it responds or fails. Each
  * connection has a thread that uses blocking I/O. A request whose head and body were received
- * completely is logged as one line "run ID METHOD PATH". It takes requests of cassia-proxyd and,
- * with a path that begins with the route's prefix /safe, /unsafe or /download, of cassia-node.
+ * completely is logged as one line "run ID METHOD PATH", unless it is refused by /refuse-copy. It
+ * takes requests of cassia-proxyd and, with a path that begins with the route's prefix /safe,
+ * /unsafe or /download, of cassia-node.
  *
  * Usage: standin-faulty ADDRESS PORT LOG
  */
@@ -23,6 +24,14 @@
 #define HEAD_MAX_BYTES (128 * 1024)
 #define BLOCK_BYTES (64 * 1024)
 
+/* A refusal that is sent again later on its connection. */
+struct copy {
+	char *text; /* NULL: none */
+	char id[80]; /* of the request that it is sent behind; empty: the next one */
+	unsigned delay_ms;
+	unsigned count;
+};
+
 /* A client's connection and its current request. */
 struct client {
 	int fd;
@@ -38,6 +47,13 @@
 	bool close; /* close the connection after this request */
 	unsigned long long body_len, body_hash;
 	uint64_t body_first_us, body_last_us; /* arrival of the first and last body bytes */
+	struct copy copy;
+};
+
+/* A request that was refused once. */
+struct refused {
+	LIST_ENTRY(refused) entry;
+	char id[80];
 };
 
 /* Handles requests whose path starts with prefix; n is the number that follows the prefix. */
@@ -49,6 +65,8 @@
 static FILE *log_file;
 static unsigned own_port;
 static pthread_mutex_t log_mutex = PTHREAD_MUTEX_INITIALIZER;
+static LIST_HEAD(, refused) refused = LIST_HEAD_INITIALIZER(refused);
+static pthread_mutex_t refused_mutex = PTHREAD_MUTEX_INITIALIZER;
 
 static bool send_all(struct client *c, const char *data, size_t n)
 {
@@ -190,8 +208,29 @@
 	}
 }
 
-/* Reads the complete body and logs the request. */
-static bool read_request(struct client *c)
+static void log_line(const struct client *c, const char *what)
+{
+	pthread_mutex_lock(&log_mutex);
+	fprintf(log_file, "%s %s %s %s\n", what, c->id, c->method, c->path);
+	fflush(log_file);
+	pthread_mutex_unlock(&log_mutex);
+}
+
+static void send_copies(struct client *c)
+{
+	struct copy *copy = &c->copy;
+	unsigned i;
+
+	usleep(copy->delay_ms * 1000);
+	for (i = 0; i < copy->count; i++)
+		send_all(c, copy->text, strlen(copy->text));
+	log_line(c, "copy");
+	free(copy->text);
+	copy->text = NULL;
+}
+
+/* Reads the complete body, and sends the copies that are due behind this request. */
+static bool read_unlogged(struct client *c)
 {
 	static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -200,10 +239,17 @@
 	if (c->content_length < 0 ? !read_chunked_body(c)
 				  : !read_body(c, (unsigned long long)c->content_length))
 		return false;
-	pthread_mutex_lock(&log_mutex);
-	fprintf(log_file, "run %s %s %s\n", c->id, c->method, c->path);
-	fflush(log_file);
-	pthread_mutex_unlock(&log_mutex);
+	if (c->copy.text != NULL && (*c->copy.id == '\0' || strcmp(c->copy.id, c->id) == 0))
+		send_copies(c);
+	return true;
+}
+
+/* Reads the complete body and logs the request. */
+static bool read_request(struct client *c)
+{
+	if (!read_unlogged(c))
+		return false;
+	log_line(c, "run");
 	return true;
 }
 
@@ -348,6 +394,75 @@
 	send_text(c, 503, lines, "not now\n");
 }
 
+/* Remembers the id of a refused request; false if it is known already. */
+static bool refused_add(const char *id)
+{
+	struct refused *r;
+	bool added = false;
+
+	pthread_mutex_lock(&refused_mutex);
+	LIST_FOREACH(r, &refused, entry)
+		if (strcmp(r->id, id) == 0)
+			goto out;
+	r = cs_xcalloc(1, sizeof(*r));
+	cs_copy(r->id, sizeof(r->id), id);
+	LIST_INSERT_HEAD(&refused, r, entry);
+	added = true;
+out:
+	pthread_mutex_unlock(&refused_mutex);
+	return added;
+}
+
+/*
+ * /refuse-copy/STATUS/DELAY/COUNT/WHEN: refuses a request with STATUS when its id arrives first,
+ * and runs it after that. COUNT copies of the refusal are sent on the same connection, DELAY ms
+ * after the next request (WHEN next), the next one with this id (same) or the refusal (time). With
+ * WHEN nameless they are sent behind the next request, and neither they nor the refusal have an id.
+ * The stated slowdown makes other servers preferable.
+ */
+static void do_refuse_copy(struct client *c, long long n)
+{
+	static const char load[] = "Cassiascale-Server-Load: 0,0,8,400\r\n";
+	const char *options = strstr(c->path, "/refuse-copy/");
+	struct copy *copy = &c->copy;
+	unsigned status = 0, delay_ms = 0, count = 0;
+	char when[16] = "", id_line[120] = "";
+
+	if (!read_unlogged(c))
+		return;
+	if (!refused_add(c->id)) {
+		log_line(c, "run");
+		send_text(c, 200, load, "ok\n");
+		return;
+	}
+	sscanf(options, "/refuse-copy/%u/%u/%u/%15s", &status, &delay_ms, &count, when);
+	if (strcmp(when, "nameless") != 0)
+		snprintf(id_line, sizeof(id_line), "Cassiascale-Attempt-Id: %s\r\n", c->id);
+	free(copy->text);
+	copy->text = cs_xasprintf("HTTP/1.1 %u Status\r\n%s%sCassiascale-Not-Executed: 1\r\n"
+				  "Content-Length: 0\r\n\r\n",
+				  status, id_line, load);
+	copy->delay_ms = delay_ms;
+	copy->count = count;
+	cs_copy(copy->id, sizeof(copy->id), strcmp(when, "same") == 0 ? c->id : "");
+	log_line(c, "refuse");
+	send_all(c, copy->text, strlen(copy->text));
+	if (strcmp(when, "time") == 0)
+		send_copies(c);
+}
+
+/* A health check, which any server id passes. */
+static void do_health(struct client *c, long long n)
+{
+	char id[80] = "", line[120];
+
+	if (!read_unlogged(c))
+		return;
+	find_header(c, "Cassiascale-Expected-Instance", id, sizeof(id));
+	snprintf(line, sizeof(line), "Cassiascale-Instance-Id: %s\r\n", id);
+	send_text(c, 200, line, "");
+}
+
 static void do_reject(struct client *c, long long n)
 {
 	send_text(c, 413, "Connection: close\r\n", "too large\n");
@@ -630,6 +745,8 @@
 	{"/die", do_die},
 	{"/refuse", do_refuse},
 	{"/refuse-for/", do_refuse_for},
+	{"/refuse-copy/", do_refuse_copy},
+	{"/health", do_health},
 	{"/reject", do_reject},
 	{"/slow/", do_slow},
 	{"/slow-even/", do_slow_even},
@@ -689,6 +806,7 @@
 	while (!c->close && read_head(c))
 		handle_request(c);
 	close(c->fd);
+	free(c->copy.text);
 	free(c);
 	return NULL;
 }
