tests: standin-faulty refuses a body without a reset

node-promise.sh failed once with the sanitizers: 502 for a refusal before the end of a body. The check is the same.

--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -567,6 +567,20 @@
 	c->close = true;
 }
 
+/*
+ * Closes the connection once the peer has: a close with unread input is a reset, which may overtake
+ * the response.
+ */
+static void close_after_peer(struct client *c)
+{
+	char buf[4096];
+
+	shutdown(c->fd, SHUT_WR);
+	while (recv(c->fd, buf, sizeof(buf), 0) > 0)
+		continue;
+	c->close = true;
+}
+
 static void do_reset(struct client *c, long long n)
 {
 	if (read_request(c))
@@ -659,7 +673,10 @@
 		strncat(lines, "\r\n", sizeof(lines) - strlen(lines) - 1);
 	c->answer_lines[0] = '\0';
 	send_text(c, (int)n, lines, "answer\n");
-	c->close = strpbrk(marks, "cn") != NULL;
+	if (strchr(marks, 'n') != NULL)
+		close_after_peer(c);
+	else
+		c->close = strchr(marks, 'c') != NULL;
 }
 
 /* Answers a health check as the server that it expects. */
@@ -840,7 +857,8 @@
 	if (strncmp(path, "/once/", 6) == 0) {
 		if (!record_handled(c)) {
 			send_refusal(c);
-			c->close = c->content_length != 0;
+			if (c->content_length != 0)
+				close_after_peer(c);
 			return;
 		}
 		path += 5;
