node: no request is sent behind a response that is not that to the one before

What callers saw: 502 for a second request after a server had sent an earlier response once more without its id: the copy ended the request under way, and the next one on the connection met its response.

Cause: a copy without an id is a complete response, so that its connection was kept.

Change: a connection on which a response was not the request's own takes no further request. A response with another id ends its connection already.

--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -143,8 +143,15 @@
 	if (a->head_recorded || !cs_transfer_has_head(a->transfer))
 		return;
 	a->head_recorded = true;
-	/* A copy of an earlier response states what was true then. */
-	if (named_server(a) == REFUSAL_SERVER_OTHER || !cs_transfer_is_own_response(a->transfer))
+	/*
+	 * The copy of an earlier response states what was true then, and the response to this
+	 * request follows on the connection.
+	 */
+	if (!cs_transfer_is_own_response(a->transfer)) {
+		cs_transfer_retire_connection(a->transfer);
+		return;
+	}
+	if (named_server(a) == REFUSAL_SERVER_OTHER)
 		return;
 	if (cs_transfer_status(a->transfer) != 421)
 		notice_record(a->req->node, a->backend, a->transfer, a->started_us, a->req->id,
--- a/tests/run/check.d/node-faulty.sh
+++ b/tests/run/check.d/node-faulty.sh
@@ -13,6 +13,13 @@
 		[ "$(status "/$kind/slow/150" -d "r-$i")" = "503 0" ] && refused=$((refused + 1))
 	done
 	ok "no $kind request is refused because of an earlier refusal (refused: $refused)" [ $refused = 0 ]
+	lost=0
+	for i in $(seq 6); do
+		status /safe/late-refusal/60 >/dev/null
+		status "/$kind/slow/150" -d "l-$i" >/dev/null
+		[ "$(status "/$kind/ok" -d "n-$i")" = "200 0" ] || lost=$((lost + 1))
+	done
+	ok "the response behind a copy does not meet the next $kind request (lost: $lost)" [ $lost = 0 ]
 	foreign=0
 	for i in $(seq 6); do
 		status /safe/late/60 >/dev/null
