--- a/lib/proxy/transfer.c
+++ b/lib/proxy/transfer.c
@@ -483,10 +483,10 @@
  * Called when the connection is established and nothing was sent yet. Input on a kept connection
  * belongs to an earlier request, and the end of input means that the server closed it. In both
  * cases, and if a request with the same id was sent on the connection before, the transfer is
- * aborted and restarted on a new connection. libcurl also calls this function
- * before it sends a request again because a kept connection failed. That is refused: the server may
- * have run the request, so whether it is sent again, with how much time left and at whose expense
- * is for the owner of the transfer to decide.
+ * aborted and restarted on a new connection. libcurl also calls this function before it sends a
+ * request again because a kept connection failed. That is refused: the server may have run the
+ * request, so whether it is sent again, with how much time left and at whose expense is for the
+ * owner of the transfer to decide.
  */
 static int on_prereq(void *arg, char *dst, char *src, int dst_port, int src_port)
 {
--- a/tests/unit/test-probe.c
+++ b/tests/unit/test-probe.c
@@ -155,7 +155,7 @@
 
 	fixture_init(&f);
 	fd = open_kept_connection(&f);
-	/* Health checks use no connection that was idle for long. */
+	/* A transfer that may not be repeated and chose this connection would be restarted. */
 	g_usleep(G_USEC_PER_SEC / 4);
 	cs_steer_set_evacuated(f.node.steer, "a1", true, cs_mono_us());
 	cs_steer_set_evacuated(f.node.steer, "a1", false, cs_mono_us());
