tests: one list of ids in standin-faulty, one opening of a connection in test-transfer

standin-faulty remembered ids in two lists with the same code, for /refuse-copy and for /once/. test-transfer had one refusal in two forms, and the opening of a connection five times. The comment on the relay's control port had lost its layout. The checks are the same: 33 assertions in test-transfer before and after.

Run: test-transfer passes 15 tests; with the check of ids taken out of lib/proxy/transfer.c the two on late copies, the one on requests without an id and the one on busy connections fail, as before. node-faulty 36, node-promise 191 and node-refusal-copy 47 checks pass.

--- a/tests/standins/faulty/faulty.c
+++ b/tests/standins/faulty/faulty.c
@@ -54,9 +54,9 @@
 	struct copy copy;
 };
 
-/* A request that was refused once. */
-struct refused {
-	LIST_ENTRY(refused) entry;
+/* The id of a request that was handled before. */
+struct known_id {
+	LIST_ENTRY(known_id) entry;
 	char id[80];
 };
 
@@ -66,18 +66,13 @@
 	void (*handle)(struct client *c, long long n);
 };
 
-/* An id that was handled under /once/. */
-struct handled {
-	LIST_ENTRY(handled) entry;
-	char id[80];
-};
-
-static LIST_HEAD(, handled) handled_ids = LIST_HEAD_INITIALIZER(handled_ids);
 static FILE *log_file;
 static unsigned own_port;
 static pthread_mutex_t log_mutex = PTHREAD_MUTEX_INITIALIZER;
-static LIST_HEAD(, refused) refused = LIST_HEAD_INITIALIZER(refused);
-static pthread_mutex_t refused_mutex = PTHREAD_MUTEX_INITIALIZER;
+LIST_HEAD(id_list, known_id);
+static struct id_list refused_ids = LIST_HEAD_INITIALIZER(refused_ids); /* by /refuse-copy */
+static struct id_list once_ids = LIST_HEAD_INITIALIZER(once_ids); /* handled under /once/ */
+static pthread_mutex_t ids_mutex = PTHREAD_MUTEX_INITIALIZER;
 
 static bool send_all(struct client *c, const char *data, size_t n)
 {
@@ -431,22 +426,22 @@
 	send_text(c, 503, lines, "not now\n");
 }
 
-/* Remembers the id of a refused request; false if it is known already. */
-static bool refused_add(const char *id)
+/* Adds an id; false if the list has it already. */
+static bool id_list_add(struct id_list *list, const char *id)
 {
-	struct refused *r;
+	struct known_id *k;
 	bool added = false;
 
-	pthread_mutex_lock(&refused_mutex);
-	LIST_FOREACH(r, &refused, entry)
-		if (strcmp(r->id, id) == 0)
+	pthread_mutex_lock(&ids_mutex);
+	LIST_FOREACH(k, list, entry)
+		if (strcmp(k->id, id) == 0)
 			goto out;
-	r = cs_xcalloc(1, sizeof(*r));
-	cs_copy(r->id, sizeof(r->id), id);
-	LIST_INSERT_HEAD(&refused, r, entry);
+	k = cs_xcalloc(1, sizeof(*k));
+	cs_copy(k->id, sizeof(k->id), id);
+	LIST_INSERT_HEAD(list, k, entry);
 	added = true;
 out:
-	pthread_mutex_unlock(&refused_mutex);
+	pthread_mutex_unlock(&ids_mutex);
 	return added;
 }
 
@@ -467,7 +462,7 @@
 
 	if (!read_unlogged(c))
 		return;
-	if (!refused_add(c->id)) {
+	if (!id_list_add(&refused_ids, c->id)) {
 		log_line(c, "run");
 		send_text(c, 200, load, "ok\n");
 		return;
@@ -1053,28 +1048,19 @@
 	{"/hop-headers", do_hop_headers},
 };
 
-/* Records that an id is handled under /once/; false if it was before. */
-static bool record_handled(const struct client *c)
+/* Logs whether an id is handled under /once/ for the first time; false if it is not. */
+static bool log_once(const struct client *c)
 {
-	struct handled *e;
+	bool first = id_list_add(&once_ids, c->id);
 
 	pthread_mutex_lock(&log_mutex);
-	LIST_FOREACH(e, &handled_ids, entry)
-		if (strcmp(e->id, c->id) == 0)
-			break;
-	if (e != NULL) {
+	if (first)
+		fprintf(log_file, "once %s %u\n", c->id, c->n_requests - 1);
+	else
 		fprintf(log_file, "again %s\n", c->id);
-		fflush(log_file);
-		pthread_mutex_unlock(&log_mutex);
-		return false;
-	}
-	e = cs_xcalloc(1, sizeof(*e));
-	cs_copy(e->id, sizeof(e->id), c->id);
-	LIST_INSERT_HEAD(&handled_ids, e, entry);
-	fprintf(log_file, "once %s %u\n", c->id, c->n_requests - 1);
 	fflush(log_file);
 	pthread_mutex_unlock(&log_mutex);
-	return true;
+	return first;
 }
 
 static void handle_request(struct client *c)
@@ -1090,7 +1076,7 @@
 	else if (strncmp(path, "/download/", 10) == 0)
 		path += 9;
 	if (strncmp(path, "/once/", 6) == 0) {
-		if (!record_handled(c)) {
+		if (!log_once(c)) {
 			send_refusal(c);
 			if (c->content_length != 0)
 				close_after_peer(c);
--- a/tests/standins/links/control.c
+++ b/tests/standins/links/control.c
@@ -1,11 +1,13 @@
 /*
  * Control port:
+ *
  *   GET /standin/link?[from=ZONE][&to=ZONE][&both=1]&mode=ok|cut|hole&ms=N&mbit=N&copies=1|0
  *                        sets the conditions from one zone to another, with both=1 in both
  *                        directions; without from or to, for all zones. mbit applies only to
- *                        pairs that have a link. copies=1|0: a response from the first zone is sent
- * a second time when the next request on its connection arrives. GET /standin/stats   bytes and
- * connections of each listener
+ *                        pairs that have a link. With copies=1, a response from the first zone is
+ *                        sent again when the next request on its connection arrives.
+ *
+ *   GET /standin/stats   bytes and connections of each listener
  */
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/unit/test-transfer.c
+++ b/tests/unit/test-transfer.c
@@ -100,6 +100,7 @@
 			(int)strlen(response));
 }
 
+#define REFUSAL "HTTP/1.1 503 No\r\nX-Id: one\r\nContent-Length: 0\r\n\r\n"
 #define RESPONSE(id, headers)                                                                      \
 	"HTTP/1.1 200 OK\r\nX-Id: " id "\r\nContent-Length: 2\r\n" headers "\r\nok"
 
@@ -148,8 +149,8 @@
 	fixture_destroy(&f);
 }
 
-/* Sends a first request with a buffered body; returns the connection, which is kept open. */
-static int open_kept_connection(struct fixture *f)
+/* Sends a request on a new connection, which is returned, and sends a response on it. */
+static int serve_first_request(struct fixture *f, const char *response)
 {
 	int fd;
 
@@ -157,7 +158,15 @@
 	run_until(f, CS_TRANSFER_SENT);
 	fd = accept(f->listener, NULL, NULL);
 	ev_run(f->loop, EVRUN_NOWAIT);
-	serve_request(fd, RESPONSE("one", ""));
+	serve_request(fd, response);
+	return fd;
+}
+
+/* Sends a first request with a buffered body; returns the connection, which is kept open. */
+static int open_kept_connection(struct fixture *f)
+{
+	int fd = serve_first_request(f, RESPONSE("one", ""));
+
 	run_until(f, CS_TRANSFER_COMPLETE);
 	return fd;
 }
@@ -308,23 +317,18 @@
  */
 static void check_late_copy_of_refusal(bool at_most_once)
 {
-	static const char refusal[] = "HTTP/1.1 503 No\r\nX-Id: one\r\nContent-Length: 0\r\n\r\n";
 	struct fixture f;
 	int fd, new_fd;
 
 	fixture_init(&f);
 	f.opts.at_most_once = at_most_once;
-	start_transfer(&f);
-	run_until(&f, CS_TRANSFER_SENT);
-	fd = accept(f.listener, NULL, NULL);
-	ev_run(f.loop, EVRUN_NOWAIT);
-	serve_request(fd, refusal);
+	fd = serve_first_request(&f, REFUSAL);
 	run_until(&f, CS_TRANSFER_COMPLETE);
 	g_assert_cmpint(fcntl(f.listener, F_SETFL, O_NONBLOCK), ==, 0);
 	start_transfer(&f);
 	run_until(&f, CS_TRANSFER_SENT);
 	ev_run(f.loop, EVRUN_NOWAIT);
-	send(fd, refusal, strlen(refusal), MSG_NOSIGNAL);
+	send(fd, REFUSAL, strlen(REFUSAL), MSG_NOSIGNAL);
 	new_fd = accept(f.listener, NULL, NULL);
 	if (new_fd >= 0)
 		serve_request(new_fd, RESPONSE("one", ""));
@@ -345,8 +349,6 @@
 	check_late_copy_of_refusal(false);
 }
 
-#define REFUSAL "HTTP/1.1 503 No\r\nX-Id: one\r\nContent-Length: 0\r\n\r\n"
-
 /*
  * Guards against the copy of a refusal, or the rest of one whose first bytes were discarded with
  * the refusal, that is taken for the response to the next request.
@@ -493,11 +495,7 @@
 
 	for (i = 0; i < G_N_ELEMENTS(heads); i++) {
 		fixture_init(&f);
-		start_transfer(&f);
-		run_until(&f, CS_TRANSFER_SENT);
-		fd = accept(f.listener, NULL, NULL);
-		ev_run(f.loop, EVRUN_NOWAIT);
-		serve_request(fd, heads[i]);
+		fd = serve_first_request(&f, heads[i]);
 		run_until(&f, CS_TRANSFER_FAILED);
 		g_assert_false(cs_transfer_has_head(f.transfer));
 		close(fd);
@@ -523,11 +521,7 @@
 
 	for (i = 0; i < G_N_ELEMENTS(heads); i++) {
 		fixture_init(&f);
-		start_transfer(&f);
-		run_until(&f, CS_TRANSFER_SENT);
-		fd = accept(f.listener, NULL, NULL);
-		ev_run(f.loop, EVRUN_NOWAIT);
-		serve_request(fd, heads[i]);
+		fd = serve_first_request(&f, heads[i]);
 		close(fd);
 		run_until(&f, CS_TRANSFER_FAILED);
 		g_assert_false(cs_transfer_has_head(f.transfer));
