tests: wait_for waits as long as it says

The script waits 4 s for what takes up to 3.1 s, as its comment works out, but wait_for counted in whole seconds of SECONDS and gave up after 3.0 to 4.0 s: waits of 2 s ended after 1.08 to 1.91 s.

wait_for now counts in microseconds: waits of 2 s end after 2.01 to 2.02 s. No time in a script is changed. node-path passes three times side by side.

--- a/tests/run/proxy-lib.sh
+++ b/tests/run/proxy-lib.sh
@@ -39,10 +39,11 @@
 
 # wait_for SECONDS COMMAND...: retries the command until it succeeds; fails after SECONDS.
 wait_for() {
-	local end=$((SECONDS + $1))
+	# SECONDS counts whole seconds, so that the time would be up to one second short.
+	local end=$((${EPOCHREALTIME/./} + $1 * 1000000))
 	shift
 	until "$@" >/dev/null 2>&1; do
-		[ $SECONDS -ge $end ] && return 1
+		[ "${EPOCHREALTIME/./}" -ge "$end" ] && return 1
 		sleep 0.05
 	done
 }
