proxy: log input that is discarded after the last response of a connection

A request that crosses the close of an idle connection is read and discarded by the lingering close, without a line in the log. connection.cut why=late now has the number of its bytes. Trial with one instance (idle timeout 2 s, the second request sent after the close): two of two requests, why=late bytes=133 and 137; no line before.

--- a/lib/proxy/linger.c
+++ b/lib/proxy/linger.c
@@ -28,6 +28,7 @@
 	uint64_t until_us;
 	uint64_t active_us; /* of the last input */
 	uint64_t bytes;
+	uint64_t late_bytes; /* those behind the request that was answered last */
 };
 
 struct cs_linger_list {
@@ -44,7 +45,7 @@
 
 const char *cs_linger_why_name(enum cs_linger_why why)
 {
-	static const char *const names[] = {"time", "silent", "room", "end"};
+	static const char *const names[] = {"time", "silent", "room", "end", "late"};
 
 	return names[why];
 }
@@ -73,10 +74,22 @@
 	return is_sending(c) ? &c->owner->sending : &c->owner->done;
 }
 
+static void report(const struct linger_conn *c, enum cs_linger_why why, uint64_t bytes)
+{
+	struct cs_linger_cut cut = {.name = c->req.name != NULL ? c->req.name : "",
+				    .why = why,
+				    .lingered_us = cs_mono_us() - c->since_us,
+				    .bytes = bytes};
+
+	c->owner->on_cut(&cut, c->owner->arg);
+}
+
 static void linger_conn_destroy(struct linger_conn *c)
 {
 	struct cs_linger_list *ll = c->owner;
 
+	if (c->late_bytes > 0)
+		report(c, CS_LINGER_LATE, c->late_bytes);
 	ev_io_stop(ll->loop, &c->io);
 	cs_timer_stop(&c->timeout);
 	TAILQ_REMOVE(list_of(c), c, entry);
@@ -89,13 +102,8 @@
 /* Closes a connection, and reports it if its client was still sending. */
 static void linger_conn_cut(struct linger_conn *c, enum cs_linger_why why)
 {
-	struct cs_linger_cut cut = {.name = c->req.name != NULL ? c->req.name : "",
-				    .why = why,
-				    .lingered_us = cs_mono_us() - c->since_us,
-				    .bytes = c->bytes};
-
 	if (is_sending(c))
-		c->owner->on_cut(&cut, c->owner->arg);
+		report(c, why, c->bytes);
 	linger_conn_destroy(c);
 }
 
@@ -150,8 +158,10 @@
 	TAILQ_REMOVE(list_of(c), c, entry);
 	c->active_us = cs_mono_us();
 	c->bytes += n;
-	if (c->req.body_left != UINT64_MAX)
+	if (c->req.body_left != UINT64_MAX) {
+		c->late_bytes += n > c->req.body_left ? n - c->req.body_left : 0;
 		c->req.body_left -= n < c->req.body_left ? n : c->req.body_left;
+	}
 	TAILQ_INSERT_TAIL(list_of(c), c, entry);
 	if (!was_sending || is_sending(c))
 		return;
--- a/lib/proxy/linger.h
+++ b/lib/proxy/linger.h
@@ -9,21 +9,25 @@
 
 #include "base/base.h"
 
-/* Why a connection was closed although its client had not sent all of its request. */
+/* Why a connection was closed although its client had not sent all, or sent more. */
 enum cs_linger_why {
 	CS_LINGER_TIME, /* the client does not wait for its response any more */
 	CS_LINGER_SILENT, /* it sends nothing */
 	CS_LINGER_ROOM, /* another connection needed the descriptor */
-	CS_LINGER_END /* the end of the process */
+	CS_LINGER_END, /* the end of the process */
+	CS_LINGER_LATE /* input followed the last request, such as a request that gets no response */
 };
 const char *cs_linger_why_name(enum cs_linger_why why);
 
-/* A connection that was closed while its client was still sending: its response may be lost. */
+/*
+ * A connection that was closed while its client was still sending, so that its response may be
+ * lost, or whose client sent another request.
+ */
 struct cs_linger_cut {
 	const char *name; /* of the request; "" if it has none */
 	enum cs_linger_why why;
 	uint64_t lingered_us;
-	uint64_t bytes; /* that were read and discarded */
+	uint64_t bytes; /* that were read and discarded; CS_LINGER_LATE: behind the request */
 };
 typedef void (*cs_linger_cut_cb)(const struct cs_linger_cut *cut, void *arg);
 
