proxy: an idle connection is closed without reading on

Callers saw a connection end in order after they had sent a whole request on it, with neither an answer nor a refusal, and could not tell that it had not run. The close of an idle connection (idle timeout, planned stop) was a lingering one: it read and discarded a request that was in transit. Lingering protects a response that is still on its way; on an idle connection there is none. Now the socket is closed: what arrives later is not read, and resets the client, which may repeat any request then.

--- a/lib/proxy/ingress.c
+++ b/lib/proxy/ingress.c
@@ -125,7 +125,7 @@
 
 	TAILQ_FOREACH_SAFE(c, &g->idle, idle_entry, next)
 		if (!read_waiting(c))
-			conn_close(c);
+			conn_destroy(c, CS_CALL_IDLE);
 }
 
 unsigned cs_ingress_calls(const struct cs_ingress *g)
@@ -439,10 +439,8 @@
 	cs_timer_start(c->owner->timers, t, next_us);
 	if (since < idle_us || (!c->output_due && read_waiting(c)))
 		return;
-	if (c->idle)
-		conn_close(c);
-	else
-		conn_destroy(c, CS_CALL_IDLE);
+	/* No lingering: a reset shows the client that a request that is in transit was not read. */
+	conn_destroy(c, CS_CALL_IDLE);
 }
 
 static void conn_create(struct cs_ingress *g, int fd)
--- a/lib/proxy/linger.h
+++ b/lib/proxy/linger.h
@@ -31,7 +31,7 @@
 };
 typedef void (*cs_linger_cut_cb)(const struct cs_linger_cut *cut, void *arg);
 
-/* The request that was answered last; all zero if the connection was idle. */
+/* The request that was answered last. */
 struct cs_linger_request {
 	char *name; /* freed by the list; may be NULL */
 	uint64_t body_left; /* bytes that the client has still to send; UINT64_MAX if unknown */
