platform, node: follow a store that is restored from a copy

Callers: after the platform's store came back from a copy some seconds old, instances used servers again that had left, sent to a zone whose evacuation was lost with the copy, and missed documents and entries, since the store gives out revisions again that they took for known.

Cause: revisions were compared as if they never went back. Only the 410 to a watch showed a restoration, and only until the store had passed the known revision.

The adapter now adds the era of the store (Store-Era) to each revision, so that every comparison holds, and reports lost history to a watch of another era.

--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -1,4 +1,5 @@
 /* HTTP client requests whose response is buffered up to a limit. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -23,7 +24,8 @@
 	size_t max_body;
 	void (*large_cb)(void *arg);
 	size_t large;
-	uint64_t index;
+	const char *number_header;
+	uint64_t number;
 	uint64_t response_us; /* when the response began; 0: it has not */
 	struct cs_timer first_byte_timer; /* active until the response begins */
 	char error[CURL_ERROR_SIZE];
@@ -57,6 +59,7 @@
 	f->arg = arg;
 	f->large_cb = opts->large_cb;
 	f->large = opts->large;
+	f->number_header = opts->number_header;
 	f->max_body = opts->max_response ? opts->max_response : RESPONSE_MAX_DEFAULT;
 	curl_easy_setopt(e, CURLOPT_URL, opts->url);
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
@@ -127,13 +130,23 @@
 	return len;
 }
 
+/* Parses the value of a header line if the line has the name; returns 0 for another line. */
+static uint64_t parse_number(const char *line, size_t len, const char *name)
+{
+	size_t name_len = strlen(name);
+	char value[32];
+
+	if (len <= name_len || line[name_len] != ':' || strncasecmp(line, name, name_len) != 0)
+		return 0;
+	snprintf(value, sizeof(value), "%.*s", (int)(len - name_len - 1), line + name_len + 1);
+	return strtoull(value, NULL, 10);
+}
+
 static size_t on_header(char *data, size_t size, size_t n, void *arg)
 {
-	static const char index_header[] = "X-Consul-Index:";
 	struct cs_fetch *f = arg;
 	size_t len = size * n;
-	char number[32];
-	size_t number_len;
+	uint64_t number;
 
 	cs_timer_stop(&f->first_byte_timer);
 	if (f->response_us == 0)
@@ -141,15 +154,9 @@
 	f->head_len += len;
 	if (f->head_len > HEAD_MAX)
 		return 0;
-	if (len > sizeof(index_header) &&
-	    strncasecmp(data, index_header, sizeof(index_header) - 1) == 0) {
-		number_len = len - (sizeof(index_header) - 1);
-		if (number_len >= sizeof(number))
-			number_len = sizeof(number) - 1;
-		memcpy(number, data + sizeof(index_header) - 1, number_len);
-		number[number_len] = '\0';
-		f->index = strtoull(number, NULL, 10);
-	}
+	number = f->number_header != NULL ? parse_number(data, len, f->number_header) : 0;
+	if (number > 0)
+		f->number = number;
 	return len;
 }
 
@@ -162,7 +169,7 @@
 /* Passes the result to the callback and frees the fetch. */
 static void finish(struct cs_fetch *f, CURLcode code)
 {
-	struct cs_fetch_result res = {.code = code, .index = f->index};
+	struct cs_fetch_result res = {.code = code, .number = f->number};
 
 	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &res.status);
 	res.body = f->body ? f->body : "";
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -90,7 +90,7 @@
 	long status; /* HTTP status; 0 without a response */
 	const char *body; /* NUL-terminated; valid during the callback */
 	size_t len;
-	uint64_t index; /* X-Consul-Index header; 0 if absent */
+	uint64_t number; /* value of number_header; 0 if it is absent or no number */
 	uint64_t receive_us; /* time from the first byte of the response to its end */
 	const char *error;
 };
@@ -107,6 +107,7 @@
 	unsigned first_byte_timeout_ms; /* until the first byte of the response; 0: only timeout_ms
 					   applies */
 	size_t max_response; /* limit of the response body in bytes; 0: 64 KiB */
+	const char *number_header; /* response header whose value is returned; NULL: none */
 	/*
 	 * Called once when large bytes of the body have arrived; no transfer may be started or
 	 * cancelled in it. NULL: not called.
--- a/lib/steer/feed.c
+++ b/lib/steer/feed.c
@@ -48,8 +48,8 @@
 #define STABLE_RESPONSE_MAX_AGE_US (1800 * CS_US_PER_MS)
 /* During a longer outage, entries of live servers may expire; the servers write them again. */
 #define OUTAGE_MIN_US (700 * CS_US_PER_MS)
-/* Live servers rewrite their entries within this time after the store recovers. */
-#define REWRITE_US (2000 * CS_US_PER_MS)
+/* Followers spread their full reads over this time after the store was restored. */
+#define RESTORED_SPREAD_US (1000 * CS_US_PER_MS)
 
 void cs_feed_init(struct cs_feed *f, uint64_t seed, uint64_t now_us)
 {
@@ -115,7 +115,7 @@
 static void record_success(struct cs_feed *f, uint64_t now_us)
 {
 	if (f->failures > 0 && now_us - f->last_response_us > OUTAGE_MIN_US)
-		f->grace_until_us = now_us + REWRITE_US;
+		f->grace_until_us = now_us + CS_FEED_REWRITE_US;
 	f->failures = 0;
 	f->calling = false;
 	f->last_response_us = now_us;
@@ -159,6 +159,16 @@
 	f->more_pages = false;
 }
 
+void cs_feed_restored(struct cs_feed *f, uint64_t now_us)
+{
+	f->reading = true;
+	f->more_pages = false;
+	f->stable_since_us = now_us;
+	f->grace_until_us = now_us + CS_FEED_REWRITE_US;
+	if (f->following)
+		f->pause_until_us = now_us + cs_rng_below(&f->rng, (uint32_t)RESTORED_SPREAD_US);
+}
+
 void cs_feed_call_failed(struct cs_feed *f, uint64_t now_us)
 {
 	uint64_t max_wait = f->role == CS_FEED_FOLLOWER ? FOLLOWER_RETRY_MAX_US : RETRY_MAX_US;
--- a/lib/steer/feed.h
+++ b/lib/steer/feed.h
@@ -8,6 +8,9 @@
 
 #include "base/base.h"
 
+/* Live servers rewrite their entries within this time after the store recovers. */
+#define CS_FEED_REWRITE_US (2000 * CS_US_PER_MS)
+
 enum cs_feed_kind {
 	CS_FEED_PAUSE, /* do nothing until until_us */
 	CS_FEED_READ, /* read the next page of all items */
@@ -62,6 +65,11 @@
 			     uint64_t now_us);
 /* The store no longer has the changes after the revision: a full read follows. */
 void cs_feed_history_lost(struct cs_feed *f, uint64_t now_us);
+/*
+ * The store was restored from a copy: a full read follows, and what was written since the copy was
+ * made is written again within CS_FEED_REWRITE_US.
+ */
+void cs_feed_restored(struct cs_feed *f, uint64_t now_us);
 /* A call failed or timed out. */
 void cs_feed_call_failed(struct cs_feed *f, uint64_t now_us);
 /*
--- a/lib/steer/members.c
+++ b/lib/steer/members.c
@@ -74,6 +74,8 @@
 		m->name_hash = (uint32_t)cs_hash_str(info->name, 0);
 		TAILQ_INSERT_TAIL(&s->members, m, entry);
 		s->n_members++;
+	} else if (s->restored && info->boot < m->info.boot) {
+		return;
 	} else if (m->info.boot != info->boot) {
 		member_reset(m);
 	}
@@ -210,7 +212,8 @@
 	const struct member *m;
 
 	TAILQ_FOREACH(m, &s->members, entry)
-		if (m->info.store_stable && now_us - m->last_message_us < PEER_REPORT_MAX_AGE_US)
+		if (m->info.store_stable && m->store_revision >= s->restored_revision &&
+		    now_us - m->last_message_us < PEER_REPORT_MAX_AGE_US)
 			return true;
 	return false;
 }
--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -8,6 +8,10 @@
 #define PROBE_PERIOD_US (300 * CS_US_PER_MS)
 /* How old the state in an entry can be when it arrives, after a cut of the server or an instance. */
 #define ENTRY_MAX_AGE_US (5 * CS_US_PER_S)
+/* An entry that was removed is in copies of the store that are at most this old. */
+#define COPY_MAX_AGE_US (30 * CS_US_PER_S)
+/* In a store that was restored, entries of servers that are gone expire within this time. */
+#define RETURNED_HOLD_US (6 * CS_US_PER_S)
 /* A relative change of usable slots beyond this counts as a loss or gain of servers. */
 #define CAPACITY_CHANGE_MIN 0.02
 
@@ -133,7 +137,31 @@
 	       now_us - s->taken_back_us[b->zone] < cold_us + ENTRY_MAX_AGE_US;
 }
 
-void cs_steer_update_server(struct cs_steer *s, const struct cs_server_entry *e, uint64_t now_us)
+/* True for an entry in a restored store that is no newer than what is known of the server. */
+static bool is_old_entry(const struct cs_steer *s, const struct cs_backend *b,
+			 const struct cs_server_entry *e)
+{
+	if (!s->restored || !s->full_read || e->started_ms == 0)
+		return false;
+	if (e->started_ms != b->info.started_ms)
+		return e->started_ms < b->info.started_ms;
+	return e->sequence <= b->info.sequence;
+}
+
+/*
+ * The server may have left since the copy was made. One that was removed is used again when it has
+ * written its entry, or when the entry outlasts the lease of a server that is gone. Returns false
+ * until then.
+ */
+static bool hold_old_entry(struct cs_backend *b, uint64_t now_us)
+{
+	b->in_full_read = true;
+	if (!b->listed && b->held_until_us == 0)
+		b->held_until_us = now_us + RETURNED_HOLD_US;
+	return b->listed;
+}
+
+bool cs_steer_update_server(struct cs_steer *s, const struct cs_server_entry *e, uint64_t now_us)
 {
 	struct cs_backend *b = find_backend(s, e->id);
 	bool created = b == NULL;
@@ -143,8 +171,10 @@
 	if (zone < 0) {
 		if (b != NULL)
 			cs_steer_remove_server(s, e->id, 0, now_us);
-		return;
+		return true;
 	}
+	if (b != NULL && is_old_entry(s, b, e))
+		return hold_old_entry(b, now_us);
 	if (b == NULL)
 		b = backend_create(s, e, (unsigned)zone);
 	else if (b->info.started_ms != e->started_ms)
@@ -155,6 +185,7 @@
 	b->zone = (unsigned)zone;
 	b->region = s->zone_region[zone];
 	b->listed = b->in_full_read = true;
+	b->held_until_us = 0;
 	/* A new entry comes from the server itself and replaces the health check. */
 	if (entry_may_omit_cold(s, b, now_us)) {
 		if (created)
@@ -163,12 +194,14 @@
 		b->needs_probe = false;
 	}
 	cold_apply_entry(s, b, now_us);
+	return true;
 }
 
-static void backend_unlist(struct cs_backend *b, uint64_t until_us)
+static void backend_unlist(struct cs_backend *b, uint64_t grace_us, uint64_t now_us)
 {
 	b->listed = false;
-	b->usable_until_us = until_us;
+	b->unlisted_us = now_us;
+	b->usable_until_us = now_us + grace_us;
 }
 
 void cs_steer_remove_server(struct cs_steer *s, const char *id, uint64_t removal_grace_us,
@@ -176,9 +209,12 @@
 {
 	struct cs_backend *b = find_backend(s, id);
 
+	if (b == NULL)
+		return;
+	b->held_until_us = 0;
 	/* A running grace period is not extended. */
-	if (b != NULL && (b->listed || removal_grace_us == 0))
-		backend_unlist(b, now_us + removal_grace_us);
+	if (b->listed || removal_grace_us == 0)
+		backend_unlist(b, removal_grace_us, now_us);
 }
 
 void cs_steer_full_read_begin(struct cs_steer *s)
@@ -194,10 +230,20 @@
 {
 	struct cs_backend *b;
 
-	s->full_read = false;
-	RB_FOREACH(b, backend_ids, &s->ids)
-		if (b->listed && !b->in_full_read)
-			backend_unlist(b, now_us + removal_grace_us);
+	s->full_read = s->restored = false;
+	RB_FOREACH(b, backend_ids, &s->ids) {
+		if (b->in_full_read)
+			continue;
+		b->held_until_us = 0;
+		if (b->listed)
+			backend_unlist(b, removal_grace_us, now_us);
+	}
+}
+
+void cs_steer_store_restored(struct cs_steer *s, uint64_t revision)
+{
+	s->restored = true;
+	s->restored_revision = revision;
 }
 
 void cs_steer_set_evacuated(struct cs_steer *s, const char *zone, bool on, uint64_t now_us)
@@ -332,7 +378,7 @@
 static bool is_retained(const struct cs_backend *b, uint64_t now_us)
 {
 	return leaving_is_retained(b, now_us) || cs_backend_is_limited(b) ||
-	       now_us < b->retry_after_us;
+	       now_us < b->retry_after_us || now_us - b->unlisted_us < COPY_MAX_AGE_US;
 }
 
 void servers_sweep(struct cs_steer *s, uint64_t now_us)
@@ -340,6 +386,10 @@
 	struct cs_backend *b, *next;
 
 	RB_FOREACH_SAFE(b, backend_ids, &s->ids, next) {
+		if (b->held_until_us > 0 && now_us >= b->held_until_us) {
+			b->listed = true;
+			b->held_until_us = 0;
+		}
 		/*
 		 * Another instance had uninterrupted contact with the store, so the entry did
 		 * expire: end the grace period.
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -44,6 +44,9 @@
 	bool listed; /* the store has its entry */
 	bool in_full_read; /* seen in the full read in progress */
 	uint64_t usable_until_us; /* end of the grace period, if not listed */
+	uint64_t unlisted_us; /* when its entry was removed, if not listed */
+	/* Not listed, but a restored store has an old entry of it: when it is believed; 0: no. */
+	uint64_t held_until_us;
 	uint64_t process_since_us; /* when its current process became known */
 	/* The process that stated in a response that it leaves. */
 	bool leaving;
@@ -214,6 +217,8 @@
 	unsigned cold_reported; /* position after the last cold server that was reported */
 	bool store_fresh; /* this instance watches the store, which responded recently */
 	bool full_read; /* the store's entries are being read, whenever they were written */
+	bool restored; /* the store was restored, and its entries were not read since */
+	uint64_t restored_revision; /* the lowest one since then */
 	/* Until then servers' entries may be out of date, as no instance reached the store. */
 	uint64_t entries_doubtful_until_us;
 	unsigned n_cold_owners_unlogged; /* servers for cs_steer_next_cold_owner_change */
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -68,12 +68,13 @@
 	bool draining;
 	unsigned cold_ms; /* remaining cold time when the entry was written */
 	int64_t started_ms; /* wall-clock time of its start; 0 if unknown */
+	int64_t sequence; /* rises with each report of the process */
 };
 
 struct cs_backend;
 
-/* Adds or updates a server. */
-void cs_steer_update_server(struct cs_steer *s, const struct cs_server_entry *e, uint64_t now_us);
+/* Adds or updates a server. Returns false if its entry is old and not believed for now. */
+bool cs_steer_update_server(struct cs_steer *s, const struct cs_server_entry *e, uint64_t now_us);
 /*
  * The server's entry was removed, or expired during a store outage: the server stays usable for
  * removal_grace_us.
@@ -86,6 +87,11 @@
  */
 void cs_steer_full_read_begin(struct cs_steer *s);
 void cs_steer_full_read_end(struct cs_steer *s, uint64_t removal_grace_us, uint64_t now_us);
+/*
+ * The store was restored from a copy. Revisions from this one on are of its present state. Until
+ * the end of the next full read, entries older than those known here are not believed.
+ */
+void cs_steer_store_restored(struct cs_steer *s, uint64_t revision);
 /* Starts or ends the evacuation of a zone, during which nothing is sent to its servers. */
 void cs_steer_set_evacuated(struct cs_steer *s, const char *zone, bool on, uint64_t now_us);
 /* Number of servers that are listed in the store and not draining. */
--- a/lib/store/consul.c
+++ b/lib/store/consul.c
@@ -26,6 +26,7 @@
 					      void *arg);
 
 const struct store_protocol store_consul = {.name = "consul",
+					    .index_header = "X-Consul-Index",
 					    .get = consul_get,
 					    .put = consul_put,
 					    .list = consul_list,
@@ -66,7 +67,7 @@
 	if (res->status == 200)
 		return false;
 	snprintf(text, sizeof(text), "the store responded with status %ld", res->status);
-	complete_error(op, res->status >= 500 ? CS_STORE_UNAVAILABLE : CS_STORE_BAD, res->index,
+	complete_error(op, res->status >= 500 ? CS_STORE_UNAVAILABLE : CS_STORE_BAD, res->number,
 		       text);
 	return true;
 }
@@ -88,13 +89,13 @@
 
 static void on_get(struct cs_store_op *op, const struct cs_fetch_result *res)
 {
-	struct cs_store_result out = {.status = CS_STORE_OK, .index = res->index};
+	struct cs_store_result out = {.status = CS_STORE_OK, .index = res->number};
 	const char *text;
 	char *value = NULL;
 	json_t *doc = NULL, *row, *index;
 
 	if (res->code == CURLE_OK && res->status == 404) {
-		complete_error(op, CS_STORE_ABSENT, res->index, "no such key");
+		complete_error(op, CS_STORE_ABSENT, res->number, "no such key");
 		return;
 	}
 	if (fail_on_error(op, res))
@@ -106,7 +107,7 @@
 	if (json_is_integer(index) && text != NULL)
 		value = base64_decode(text, &out.len);
 	if (value == NULL) {
-		complete_error(op, CS_STORE_BAD, res->index,
+		complete_error(op, CS_STORE_BAD, res->number,
 			       "malformed key-value response from the store");
 		goto out;
 	}
@@ -137,7 +138,7 @@
 
 static void on_put(struct cs_store_op *op, const struct cs_fetch_result *res)
 {
-	struct cs_store_result out = {.status = CS_STORE_OK, .index = res->index};
+	struct cs_store_result out = {.status = CS_STORE_OK, .index = res->number};
 	char text[96];
 
 	if (is_unsent(res->code)) {
@@ -153,13 +154,13 @@
 		return;
 	}
 	if (res->status == 200 && strncmp(res->body, "false", 5) == 0) {
-		complete_error(op, CS_STORE_CONFLICT, res->index,
+		complete_error(op, CS_STORE_CONFLICT, res->number,
 			       "the key does not have the expected index");
 		return;
 	}
 	snprintf(text, sizeof(text), "the store responded with status %ld", res->status);
 	/* The write may have taken effect despite a status of 5xx. */
-	complete_error(op, res->status >= 500 ? CS_STORE_UNKNOWN : CS_STORE_BAD, res->index, text);
+	complete_error(op, res->status >= 500 ? CS_STORE_UNKNOWN : CS_STORE_BAD, res->number, text);
 }
 
 static struct cs_store_op *consul_put(struct cs_store *s, const char *key, const char *value,
@@ -189,7 +190,7 @@
 
 static void on_list(struct cs_store_op *op, const struct cs_fetch_result *res)
 {
-	struct cs_store_result out = {.status = CS_STORE_OK, .index = res->index};
+	struct cs_store_result out = {.status = CS_STORE_OK, .index = res->number};
 	struct cs_store_entry *entries = NULL;
 	json_t *doc, *row;
 	size_t i;
@@ -198,7 +199,7 @@
 		return;
 	doc = json_loadb(res->body, res->len, 0, NULL);
 	if (!json_is_array(doc)) {
-		complete_error(op, CS_STORE_BAD, res->index,
+		complete_error(op, CS_STORE_BAD, res->number,
 			       "malformed list response from the store: not an array");
 		goto out;
 	}
@@ -225,11 +226,11 @@
 
 static void on_lease(struct cs_store_op *op, const struct cs_fetch_result *res)
 {
-	struct cs_store_result out = {.status = CS_STORE_OK, .index = res->index};
+	struct cs_store_result out = {.status = CS_STORE_OK, .index = res->number};
 	json_t *doc;
 
 	if (res->code == CURLE_OK && res->status == 404) {
-		complete_error(op, CS_STORE_ABSENT, res->index, "no such lease");
+		complete_error(op, CS_STORE_ABSENT, res->number, "no such lease");
 		return;
 	}
 	if (res->code != CURLE_OK && !is_unsent(res->code)) {
@@ -244,7 +245,7 @@
 	else
 		out.lease = json_string_value(json_object_get(doc, "ID"));
 	if (out.lease == NULL)
-		complete_error(op, CS_STORE_BAD, res->index,
+		complete_error(op, CS_STORE_BAD, res->number,
 			       "malformed lease response from the store: no ID");
 	else
 		op->cb(&out, op->arg);
--- a/lib/store/store-int.h
+++ b/lib/store/store-int.h
@@ -7,6 +7,7 @@
 /* Functions of a protocol. Each protocol has a file of its own and an entry in store.c. */
 struct store_protocol {
 	const char *name;
+	const char *index_header; /* of responses; its value is cs_fetch_result.number */
 	struct cs_store_op *(*get)(struct cs_store *s, const char *key, uint64_t after,
 				   unsigned wait_ms, cs_store_cb cb, void *arg);
 	struct cs_store_op *(*put)(struct cs_store *s, const char *key, const char *value,
--- a/lib/store/store.c
+++ b/lib/store/store.c
@@ -92,7 +92,8 @@
 				     .body = body,
 				     .body_len = len,
 				     .timeout_ms = timeout_ms,
-				     .max_response = RESPONSE_MAX};
+				     .max_response = RESPONSE_MAX,
+				     .number_header = s->protocol->index_header};
 
 	op->store = s;
 	op->cb = cb;
--- a/src/ctl/platform.c
+++ b/src/ctl/platform.c
@@ -95,7 +95,7 @@
 	for (i = 0; a->status == PLATFORM_OK && i < a->n_items; i++)
 		handle_item(r, &a->items[i]);
 	if (a->status == PLATFORM_OK) {
-		r->out->revision = a->revision;
+		r->out->revision = a->revision % PLATFORM_ERA_REVISIONS;
 		r->done = !a->more || a->n_items == 0;
 		if (a->n_items > 0)
 			cs_copy(r->last_key, sizeof(r->last_key), a->items[a->n_items - 1].key);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -224,6 +224,8 @@
 /* registration.c: this instance's own key in the store. */
 struct registration *registration_create(struct node *n);
 void registration_destroy(struct registration *r);
+/* Writes the key again with a new lease, after the store was restored from a copy. */
+void registration_repeat(struct registration *r);
 /* Revokes the lease, which removes the key. */
 void registration_withdraw(struct registration *r);
 
--- a/src/node/registration.c
+++ b/src/node/registration.c
@@ -15,6 +15,8 @@
 #define RENEW_INTERVAL_US (2500 * CS_US_PER_MS)
 /* Delay after a failed call. */
 #define RETRY_DELAY_US (400 * CS_US_PER_MS)
+/* After the store was restored, instances register again within this time. */
+#define REPEAT_SPREAD_US (1000 * CS_US_PER_MS)
 
 enum registration_state {
 	REGISTRATION_NO_LEASE,
@@ -27,6 +29,7 @@
 	struct node *node;
 	enum registration_state state;
 	uint64_t lease;
+	uint64_t era; /* of the store, when it granted the lease */
 	struct platform_call *call;
 	struct cs_timer call_timer;
 };
@@ -103,6 +106,7 @@
 	r->call = NULL;
 	if (resp->status == PLATFORM_OK && resp->lease != 0) {
 		r->lease = resp->lease;
+		r->era = platform_store_era(r->node->store);
 		r->state = REGISTRATION_NO_KEY;
 		cs_timer_start(r->node->timers, &r->call_timer, 0);
 		return;
@@ -110,11 +114,34 @@
 	cs_timer_start(r->node->timers, &r->call_timer, RETRY_DELAY_US);
 }
 
+/*
+ * True if the store was restored since it granted the lease: it may have forgotten the lease, and
+ * granted another one with its id.
+ */
+static bool lease_is_doubtful(const struct registration *r)
+{
+	return r->era != platform_store_era(r->node->store);
+}
+
+void registration_repeat(struct registration *r)
+{
+	if (r->state != REGISTRATION_NO_KEY && r->state != REGISTRATION_LISTED)
+		return;
+	platform_cancel(r->call);
+	r->call = NULL;
+	r->state = REGISTRATION_NO_LEASE;
+	cs_timer_start(r->node->timers, &r->call_timer, cs_random_u64() % REPEAT_SPREAD_US);
+}
+
 static void on_put(const struct platform_response *resp, void *arg)
 {
 	struct registration *r = arg;
 
 	r->call = NULL;
+	if (lease_is_doubtful(r)) {
+		registration_repeat(r);
+		return;
+	}
 	switch (resp->status) {
 	case PLATFORM_OK:
 		r->state = REGISTRATION_LISTED;
@@ -135,6 +162,10 @@
 	struct registration *r = arg;
 
 	r->call = NULL;
+	if (lease_is_doubtful(r)) {
+		registration_repeat(r);
+		return;
+	}
 	if (resp->status == PLATFORM_ABSENT) {
 		cs_event(r->node->events, CS_EVENT_IMPORTANT, "instance.lease_lost", "lease=%llu",
 			 (unsigned long long)r->lease);
@@ -152,7 +183,7 @@
 	platform_cancel(r->call);
 	r->call = NULL;
 	r->state = REGISTRATION_WITHDRAWN;
-	if (old == REGISTRATION_LISTED || old == REGISTRATION_NO_KEY)
+	if ((old == REGISTRATION_LISTED || old == REGISTRATION_NO_KEY) && !lease_is_doubtful(r))
 		r->call = platform_lease_revoke(r->node->store, r->lease, on_revoked, r);
 }
 
--- a/src/node/store-sync.c
+++ b/src/node/store-sync.c
@@ -26,8 +26,11 @@
 	uint64_t entries_after; /* revision that it began at */
 	struct cs_timer entries_timer;
 	char last_key[256]; /* last key of the last page read */
-	/* Zones whose evacuation key was found by the current full read. */
+	/* Zones whose evacuation key was found since the current full read began. */
 	bool evacuated_seen[CS_ZONES_MAX];
+	uint64_t era; /* of the store, when it last responded */
+	bool era_known;
+	struct cs_timer restored_timer; /* active until lost writes were repeated */
 	bool unreachable_logged;
 	enum cs_feed_role role_logged;
 	bool following_logged;
@@ -39,6 +42,7 @@
 static void on_watch(const struct platform_response *resp, void *arg);
 static void on_large_response(void *arg);
 static void on_entries_timer(struct cs_timer *t, void *arg);
+static void on_restored_timer(struct cs_timer *t, void *arg);
 static void on_entries(const struct platform_response *resp, void *arg);
 
 struct store_sync *store_sync_create(struct node *n)
@@ -49,6 +53,7 @@
 	cs_feed_init(&ss->state, cs_random_u64(), cs_mono_us());
 	cs_timer_init(&ss->call_timer, on_call_timer, ss);
 	cs_timer_init(&ss->entries_timer, on_entries_timer, ss);
+	cs_timer_init(&ss->restored_timer, on_restored_timer, ss);
 	cs_timer_start(n->timers, &ss->call_timer, 0);
 	return ss;
 }
@@ -61,6 +66,7 @@
 	platform_cancel(ss->entries_call);
 	cs_timer_stop(&ss->call_timer);
 	cs_timer_stop(&ss->entries_timer);
+	cs_timer_stop(&ss->restored_timer);
 	free(ss);
 }
 
@@ -227,7 +233,9 @@
 		 "revision=%llu",
 		 id, e.service, e.zone, e.addr, e.port, e.slots, e.draining, e.cold_ms,
 		 (unsigned long long)it->revision);
-	cs_steer_update_server(n->steer, &e, now);
+	if (!cs_steer_update_server(n->steer, &e, now))
+		cs_event(n->events, CS_EVENT_IMPORTANT, "server.old_entry",
+			 "server=%s revision=%llu", id, (unsigned long long)it->revision);
 }
 
 static void apply_evacuation(struct store_sync *ss, const char *zone, bool on, uint64_t now)
@@ -314,15 +322,57 @@
 		apply_item(ss, it, now);
 }
 
-static void finish_full_read(struct store_sync *ss, uint64_t now)
+/* A zone without an evacuation key is not evacuated (any more). */
+static void end_evacuations(struct store_sync *ss, uint64_t now)
 {
 	struct node *n = ss->node;
 	unsigned i;
 
-	/* A zone without an evacuation key is not evacuated (any more). */
 	for (i = 0; i < n->settings.n_zones; i++)
 		if (!ss->evacuated_seen[i])
 			cs_steer_set_evacuated(n->steer, n->settings.zones[i].name, false, now);
+}
+
+/* The operators have repeated by now what the store had lost. */
+static void on_restored_timer(struct cs_timer *t, void *arg)
+{
+	struct store_sync *ss = arg;
+
+	if (!ss->state.reading)
+		end_evacuations(ss, cs_mono_us());
+}
+
+/*
+ * Begins to read everything again if the store was restored from a copy since its last response:
+ * the changes since then are not those after the known revision. Returns true in that case.
+ */
+static bool check_era(struct store_sync *ss, const struct platform_response *resp, uint64_t now)
+{
+	struct node *n = ss->node;
+	uint64_t era = platform_store_era(n->store);
+	bool restored = ss->era_known && era != ss->era;
+
+	if (resp->status == PLATFORM_NO_ANSWER)
+		return false;
+	ss->era = era;
+	ss->era_known = true;
+	if (!restored)
+		return false;
+	cs_event(n->events, CS_EVENT_IMPORTANT, "store.restored", "era=%llu revision=%llu",
+		 (unsigned long long)era, (unsigned long long)ss->state.revision);
+	cs_feed_restored(&ss->state, now);
+	cs_steer_store_restored(n->steer, era * PLATFORM_ERA_REVISIONS);
+	registration_repeat(n->registration);
+	cs_timer_start(n->timers, &ss->restored_timer, CS_FEED_REWRITE_US);
+	return true;
+}
+
+static void finish_full_read(struct store_sync *ss, uint64_t now)
+{
+	struct node *n = ss->node;
+
+	if (!cs_timer_active(&ss->restored_timer))
+		end_evacuations(ss, now);
 	cs_steer_full_read_end(n->steer, current_grace_us(ss, now), now);
 	cs_event(n->events, CS_EVENT_IMPORTANT, "store.read", "revision=%llu servers=%u",
 		 (unsigned long long)ss->state.revision, cs_steer_count_servers(n->steer));
@@ -338,8 +388,9 @@
 	ss->call = NULL;
 	log_slow_response(ss, resp);
 	if (resp->status != PLATFORM_OK) {
+		check_era(ss, resp, now);
 		call_failed(ss, resp);
-	} else {
+	} else if (!check_era(ss, resp, now)) {
 		for (i = 0; i < resp->n_items; i++)
 			apply_item(ss, &resp->items[i], now);
 		if (resp->n_items > 0)
@@ -387,6 +438,7 @@
 	ss->call = NULL;
 	ss->entries_ahead = false;
 	log_slow_response(ss, resp);
+	check_era(ss, resp, now);
 	switch (resp->status) {
 	case PLATFORM_OK:
 		cs_feed_watch_completed(&ss->state, resp->revision, resp->n_items, now);
--- a/tests/standins/platform/store.c
+++ b/tests/standins/platform/store.c
@@ -9,6 +9,7 @@
 
 #define HISTORY_MAX 256
 #define BODY_MAX_BYTES (2 * 1024 * 1024)
+#define COPY_LEASES_MAX 32
 
 enum mode { MODE_OK, MODE_BUSY, MODE_SILENT };
 
@@ -39,6 +40,17 @@
 	struct cs_timer timeout;
 };
 
+/* State of the store at an earlier time. */
+struct copy {
+	struct items items;
+	uint64_t revision, n_leases_granted;
+	unsigned n_leases;
+	struct {
+		uint64_t id;
+		unsigned ttl_ms;
+	} leases[COPY_LEASES_MAX];
+};
+
 struct store {
 	struct cs_timers *timers;
 	struct cs_httpd *httpd;
@@ -52,11 +64,14 @@
 	LIST_HEAD(, watch) watches;
 	enum mode mode;
 	unsigned calls;
+	uint64_t era; /* number of restorations */
+	struct copy *copy; /* NULL: none was made */
 };
 
 static void on_request(struct cs_http_req *req, void *arg);
 static void on_watch_end(struct cs_timer *t, void *arg);
 static void on_lease_end(struct cs_timer *t, void *arg);
+static void copy_destroy(struct copy *c);
 
 struct store *store_create(struct ev_loop *loop, struct cs_timers *ts, const char *addr,
 			   uint16_t port, struct cs_msg *msg)
@@ -84,14 +99,30 @@
 	free(it);
 }
 
-void store_destroy(struct store *st)
+static void items_free(struct items *items)
 {
-	struct watch *w;
-	struct lease *l;
 	struct item *it;
 
-	if (st == NULL)
+	while ((it = TAILQ_FIRST(items)) != NULL) {
+		TAILQ_REMOVE(items, it, entry);
+		item_free(it);
+	}
+}
+
+static void copy_destroy(struct copy *c)
+{
+	if (c == NULL)
 		return;
+	items_free(&c->items);
+	free(c);
+}
+
+/* Drops all keys, leases and changes, and cuts the watches. */
+static void clear(struct store *st)
+{
+	struct watch *w;
+	struct lease *l;
+
 	while ((w = LIST_FIRST(&st->watches)) != NULL) {
 		LIST_REMOVE(w, entry);
 		cs_timer_stop(&w->timeout);
@@ -104,14 +135,17 @@
 		cs_timer_stop(&l->expiry);
 		free(l);
 	}
-	while ((it = TAILQ_FIRST(&st->items)) != NULL) {
-		TAILQ_REMOVE(&st->items, it, entry);
-		item_free(it);
-	}
-	while ((it = TAILQ_FIRST(&st->history)) != NULL) {
-		TAILQ_REMOVE(&st->history, it, entry);
-		item_free(it);
-	}
+	items_free(&st->items);
+	items_free(&st->history);
+	st->n_history = 0;
+}
+
+void store_destroy(struct store *st)
+{
+	if (st == NULL)
+		return;
+	clear(st);
+	copy_destroy(st->copy);
 	cs_httpd_destroy(st->httpd);
 	free(st);
 }
@@ -321,7 +355,7 @@
 	struct watch *w;
 	json_t *list;
 
-	if (after < st->compacted_revision) {
+	if (after < st->compacted_revision || after > st->revision) {
 		cs_http_reply(req, 410, NULL, "{}", 2);
 		return;
 	}
@@ -409,18 +443,77 @@
 	cs_timer_start(l->store->timers, &l->expiry, l->ttl_ms * CS_US_PER_MS);
 }
 
-static void handle_lease(struct store *st, struct cs_http_req *req)
+static struct lease *lease_create(struct store *st, uint64_t id, unsigned ttl_ms)
 {
-	json_t *doc = json_loads(cs_http_body(req, NULL), 0, NULL);
 	struct lease *l = cs_xcalloc(1, sizeof(*l));
 
 	l->store = st;
-	l->id = 1000 + ++st->n_leases_granted;
-	l->ttl_ms = (unsigned)json_integer_value(json_object_get(doc, "ttl-ms"));
-	json_decref(doc);
+	l->id = id;
+	l->ttl_ms = ttl_ms;
 	cs_timer_init(&l->expiry, on_lease_end, l);
 	LIST_INSERT_HEAD(&st->leases, l, entry);
 	lease_start(l);
+	return l;
+}
+
+static void copy_items(struct items *to, const struct items *from)
+{
+	struct item *it, *copied;
+
+	TAILQ_INIT(to);
+	TAILQ_FOREACH(it, from, entry) {
+		copied = cs_xcalloc(1, sizeof(*copied));
+		*copied = *it;
+		copied->key = cs_xstrdup(it->key);
+		copied->value = cs_xstrdup(it->value);
+		TAILQ_INSERT_TAIL(to, copied, entry);
+	}
+}
+
+/* Keeps the present state for store_restore. */
+static void store_copy(struct store *st)
+{
+	struct copy *c = cs_xcalloc(1, sizeof(*c));
+	const struct lease *l;
+
+	copy_destroy(st->copy);
+	st->copy = c;
+	copy_items(&c->items, &st->items);
+	c->revision = st->revision;
+	c->n_leases_granted = st->n_leases_granted;
+	LIST_FOREACH(l, &st->leases, entry) {
+		if (c->n_leases == COPY_LEASES_MAX)
+			break;
+		c->leases[c->n_leases].id = l->id;
+		c->leases[c->n_leases++].ttl_ms = l->ttl_ms;
+	}
+}
+
+/* Goes back to the copy: revisions and leases since then are given out again. */
+static void store_restore(struct store *st)
+{
+	const struct copy *c = st->copy;
+	unsigned i;
+
+	if (c == NULL)
+		return;
+	clear(st);
+	copy_items(&st->items, &c->items);
+	st->revision = st->compacted_revision = c->revision;
+	st->n_leases_granted = c->n_leases_granted;
+	for (i = 0; i < c->n_leases; i++)
+		lease_create(st, c->leases[i].id, c->leases[i].ttl_ms);
+	st->era++;
+}
+
+static void handle_lease(struct store *st, struct cs_http_req *req)
+{
+	json_t *doc = json_loads(cs_http_body(req, NULL), 0, NULL);
+	struct lease *l =
+		lease_create(st, 1000 + ++st->n_leases_granted,
+			     (unsigned)json_integer_value(json_object_get(doc, "ttl-ms")));
+
+	json_decref(doc);
 	reply_json(req, 200,
 		   json_pack("{s:I, s:i}", "lease", (json_int_t)l->id, "ttl-ms", l->ttl_ms));
 }
@@ -441,10 +534,10 @@
 }
 
 /*
- * Control paths: write or delete a key, set the mode, compact the history, set the header of a
- * server's responses. Each responds with the revision, the number of calls, the number of
- * executions of the attempt in the argument id and the number of requests that reached the server
- * in the argument server.
+ * Control paths: write or delete a key, set the mode, compact the history, make a copy of the
+ * store, restore the store from it, set the header of a server's responses. Each responds with the
+ * revision, the number of calls, the number of executions of the attempt in the argument id and the
+ * number of requests that reached the server in the argument server.
  */
 static void handle_control(struct store *st, struct cs_http_req *req, const char *what)
 {
@@ -460,6 +553,10 @@
 		st->mode = strcmp(mode, "silent") == 0 ? MODE_SILENT
 			   : strcmp(mode, "busy") == 0 ? MODE_BUSY
 						       : MODE_OK;
+	else if (strcmp(what, "copy") == 0)
+		store_copy(st);
+	else if (strcmp(what, "restore") == 0)
+		store_restore(st);
 	else if (strcmp(what, "compact") == 0)
 		st->compacted_revision = st->revision + 1;
 	else if (strcmp(what, "header") == 0)
@@ -474,12 +571,15 @@
 {
 	const char *path = cs_http_path(req);
 	struct store *st = arg;
+	char era[24];
 
 	if (has_prefix(path, "/control/")) {
 		handle_control(st, req, path + 9);
 		return;
 	}
 	st->calls++;
+	snprintf(era, sizeof(era), "%llu", (unsigned long long)st->era);
+	cs_http_add_header(req, "Store-Era", era);
 	/* No response in silent mode; the request is not freed until the process ends. */
 	if (st->mode == MODE_SILENT)
 		return;
--- a/tests/unit/test-platform-store.c
+++ b/tests/unit/test-platform-store.c
@@ -21,6 +21,9 @@
 	int listener, fd;
 	struct cs_timer serve_timer;
 	const char *body; /* of the response */
+	const char *era; /* header of the response; NULL: none */
+	uint64_t after; /* revision of a watch */
+	uint64_t revision;
 	bool done;
 	enum platform_status status;
 	unsigned n_items;
@@ -35,6 +38,7 @@
 
 	f->done = true;
 	f->status = resp->status;
+	f->revision = resp->revision;
 	f->n_items = resp->n_items;
 	for (i = 0; i < resp->n_items && i < G_N_ELEMENTS(f->value); i++) {
 		f->value[i] = g_memdup2(resp->items[i].value, resp->items[i].len + 1);
@@ -44,28 +48,27 @@
 
 static void on_serve(struct cs_timer *t, void *arg)
 {
-	char buf[1024], head[128];
+	char buf[1024], head[192];
 	struct fixture *f = arg;
 
 	f->fd = accept(f->listener, NULL, NULL);
 	g_assert_cmpint(recv(f->fd, buf, sizeof(buf), 0), >, 0);
-	g_snprintf(head, sizeof(head), "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n",
-		   strlen(f->body));
+	g_snprintf(head, sizeof(head), "HTTP/1.1 200 OK\r\n%s%s%sContent-Length: %zu\r\n\r\n",
+		   f->era != NULL ? "Store-Era: " : "", f->era != NULL ? f->era : "",
+		   f->era != NULL ? "\r\n" : "", strlen(f->body));
 	g_assert_cmpint(send(f->fd, head, strlen(head), MSG_NOSIGNAL), ==, (int)strlen(head));
 	g_assert_cmpint(send(f->fd, f->body, strlen(f->body), MSG_NOSIGNAL), ==,
 			(int)strlen(f->body));
 }
 
-/* Makes a call of the kind whose response has the given body; a key is for CALL_GET. */
-static void call_kind(struct fixture *f, enum call_kind kind, const char *key, const char *body)
+static void fixture_init(struct fixture *f)
 {
 	struct platform_endpoint at = {.addr = "127.0.0.1"};
 	struct sockaddr_in sa = {.sin_family = AF_INET};
 	socklen_t len = sizeof(sa);
-	uint64_t start = cs_mono_us();
 
 	memset(f, 0, sizeof(*f));
-	f->body = body;
+	f->after = 1;
 	f->loop = ev_loop_new(EVFLAG_AUTO);
 	f->timers = cs_timers_create(f->loop);
 	f->curl = cs_curl_create(f->loop, f->timers);
@@ -77,13 +80,23 @@
 	at.port = ntohs(sa.sin_port);
 	f->store = platform_store_create(f->curl, &at);
 	cs_timer_init(&f->serve_timer, on_serve, f);
+}
+
+/* Makes a call of the kind whose response has the given body; a key is for CALL_GET. */
+static void make_call(struct fixture *f, enum call_kind kind, const char *key, const char *body)
+{
+	uint64_t start = cs_mono_us();
+
+	f->body = body;
+	f->done = false;
 	cs_timer_start(f->timers, &f->serve_timer, 20 * CS_US_PER_MS);
 	switch (kind) {
 	case CALL_GET:
 		platform_get(f->store, key, 1000, on_response, f);
 		break;
 	case CALL_WATCH:
-		platform_watch(f->store, PLATFORM_ALL_KEYS, 1, 100, 1000, NULL, on_response, f);
+		platform_watch(f->store, PLATFORM_ALL_KEYS, f->after, 100, 1000, NULL, on_response,
+			       f);
 		break;
 	case CALL_RANGE:
 		platform_range(f->store, PLATFORM_ALL_KEYS, "", 1000, on_response, f);
@@ -94,6 +107,12 @@
 	g_assert_true(f->done);
 }
 
+static void call_kind(struct fixture *f, enum call_kind kind, const char *key, const char *body)
+{
+	fixture_init(f);
+	make_call(f, kind, key, body);
+}
+
 /* Runs a watch, or the read of one key, whose response has the given body. */
 static void call(struct fixture *f, const char *key, const char *body)
 {
@@ -248,6 +267,45 @@
 	fixture_destroy(&f);
 }
 
+/* Guards against revisions that a restored store has given out again. */
+static void test_era(void)
+{
+	static const char page[] = "{\"items\":[],\"has-more\":false,\"at-revision\":70}";
+	static const char changes[] = "{\"events\":[],\"at-revision\":75}";
+	struct fixture f;
+
+	fixture_init(&f);
+	f.era = "3";
+	make_call(&f, CALL_RANGE, NULL, page);
+	g_assert_cmpint(f.status, ==, PLATFORM_OK);
+	g_assert_cmpuint(f.revision, ==, 3 * PLATFORM_ERA_REVISIONS + 70);
+	f.after = f.revision;
+	close(f.fd);
+	make_call(&f, CALL_WATCH, NULL, changes);
+	g_assert_cmpint(f.status, ==, PLATFORM_OK);
+	g_assert_cmpuint(f.revision, ==, 3 * PLATFORM_ERA_REVISIONS + 75);
+	/* Restored, and past the revision that is known. */
+	f.era = "4";
+	close(f.fd);
+	make_call(&f, CALL_WATCH, NULL, changes);
+	g_assert_cmpint(f.status, ==, PLATFORM_HISTORY_LOST);
+	g_assert_cmpuint(platform_store_era(f.store), ==, 4);
+	close(f.fd);
+	make_call(&f, CALL_RANGE, NULL, page);
+	g_assert_cmpuint(f.revision, ==, 4 * PLATFORM_ERA_REVISIONS + 70);
+	/* Sent before the restoration, or not by the store. */
+	f.era = "3";
+	close(f.fd);
+	make_call(&f, CALL_RANGE, NULL, page);
+	g_assert_cmpint(f.status, ==, PLATFORM_NO_ANSWER);
+	f.era = "99999999999999999999";
+	close(f.fd);
+	make_call(&f, CALL_RANGE, NULL, page);
+	g_assert_cmpint(f.status, ==, PLATFORM_NO_ANSWER);
+	g_assert_cmpuint(platform_store_era(f.store), ==, 4);
+	fixture_destroy(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -257,5 +315,6 @@
 	g_test_add_func("/platform-store/range-without-revision", test_range_without_revision);
 	g_test_add_func("/platform-store/response-to-watch-not-range",
 			test_response_to_watch_not_range);
+	g_test_add_func("/platform/store/era", test_era);
 	return g_test_run();
 }
--- a/tests/unit/test-store-follow.c
+++ b/tests/unit/test-store-follow.c
@@ -20,6 +20,10 @@
 /* Interval of the calls for entries while it does, as in src/node/store-sync.c. */
 #define ENTRIES_INTERVAL_US MS(150)
 
+/* Revisions of an era of the store, and the time in which all instances follow a new one. */
+#define ERA_REVISIONS 1000000000000000ULL
+#define RESTORED_US MS(3000)
+
 /* An instance's call to the store. */
 struct call {
 	bool pending;
@@ -130,6 +134,11 @@
 		return;
 	}
 	c->pending = false;
+	if (!read && c->step.after / ERA_REVISIONS != c->until / ERA_REVISIONS) {
+		cs_feed_restored(f, now);
+		cs_feed_history_lost(f, now);
+		return;
+	}
 	if (read) {
 		cs_feed_page_read(f, c->until, false, now);
 		return;
@@ -289,6 +298,36 @@
 	}
 }
 
+/*
+ * Guards against instances that go on with what a restored store has lost: the roots of each zone
+ * notice it at their next call, the others by their reports.
+ */
+static void test_restored(void)
+{
+	uint64_t took;
+	unsigned i;
+
+	create_with_store();
+	run(MS(4000));
+	revision += 20;
+	run(MS(2000));
+	g_assert_cmpuint(count_behind(), ==, 0);
+	n_calls = 0;
+	revision = ERA_REVISIONS + 15;
+	took = time_to_apply();
+	g_test_message("all instances follow after %u ms and %u calls",
+		       (unsigned)(took / CS_US_PER_MS), n_calls);
+	g_assert_cmpuint(took, <=, RESTORED_US);
+	g_assert_cmpuint(n_calls, <=, CALLS_MAX);
+	/* Entries that are missing in the copy may be written again. */
+	for (i = 0; i < n_fleet; i++)
+		g_assert_false(cs_feed_is_stable(&fleet[i].feed, now));
+	revision++;
+	took = time_to_apply();
+	g_assert_cmpuint(took, <=, DRAIN_US - SEND_US);
+	fleet_destroy();
+}
+
 int main(int argc, char **argv)
 {
 	static const bool cut_off = false, dead = true;
@@ -300,5 +339,6 @@
 	g_test_add_func("/steer/follow/document-does-not-delay-entries",
 			test_document_does_not_delay_entries);
 	g_test_add_func("/steer/follow/few-calls", test_few_calls_while_roots_watch);
+	g_test_add_func("/steer/follow/restored", test_restored);
 	return g_test_run();
 }
