proxy: a lowered idle timeout does not apply to connections that are idle already

Callers saw a kept connection end while they sent the next request on it, beside a change of the idle timeout. A client goes by the timeout that held at its last response; the instance closed the connection by the new one, at a moment at which the client may still use it.

An idle connection now keeps the timeout that held when it became idle, if that is longer. /ingress/idle/lowered failed before ("cs_ingress_connections(f.ingress) == 1: (0 == 1)").

--- a/lib/proxy/client-write.c
+++ b/lib/proxy/client-write.c
@@ -209,7 +209,7 @@
 	n = sendmsg(c->fd, &msg, MSG_DONTWAIT | MSG_NOSIGNAL);
 	if (n <= 0)
 		return n;
-	c->active_us = cs_mono_us();
+	conn_active(c);
 	c->sent += (size_t)n;
 	from_out = (size_t)n < iov[0].iov_len ? (size_t)n : iov[0].iov_len;
 	c->out_pos += from_out;
--- a/lib/proxy/ingress-int.h
+++ b/lib/proxy/ingress-int.h
@@ -60,6 +60,7 @@
 	struct cs_timer timeout;
 	/* When the client last did what this side waits for, or this side began to wait. */
 	uint64_t active_us;
+	unsigned idle_s; /* idle timeout at that time, on which the client relies */
 	bool awaits_client; /* the next step is the client's; the idle time counts */
 	bool idle, ready;
 	bool hangup_watched;
@@ -112,6 +113,8 @@
 bool ingress_place_is_wanted(const struct cs_ingress *g);
 /* Has a connection continue before the loop blocks. */
 void conn_schedule(struct conn *c);
+/* Notes that the client did what this side waits for, or that this side begins to wait. */
+void conn_active(struct conn *c);
 /* Closes a connection; calls in progress end for the given reason. */
 void conn_destroy(struct conn *c, enum cs_call_end end);
 /* Closes a connection after its last response so that the client receives all of it. */
--- a/lib/proxy/ingress.c
+++ b/lib/proxy/ingress.c
@@ -181,6 +181,12 @@
 	epoll_ctl(c->owner->hangup_epoll_fd, on ? EPOLL_CTL_ADD : EPOLL_CTL_DEL, c->fd, &ev);
 }
 
+void conn_active(struct conn *c)
+{
+	c->active_us = cs_mono_us();
+	c->idle_s = c->owner->idle_s;
+}
+
 /* Time between checks whether a client takes its output. */
 static uint64_t output_check_us(const struct cs_ingress *g)
 {
@@ -227,7 +233,7 @@
 	c->awaits_client = awaits_client(c);
 	if (!c->awaits_client || before)
 		return;
-	c->active_us = cs_mono_us();
+	conn_active(c);
 	if (!c->output_due)
 		return;
 	client_takes_output(c);
@@ -389,7 +395,7 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (!c->output_due)
-		c->active_us = cs_mono_us();
+		conn_active(c);
 	if (n > 0)
 		c->in_len += (size_t)n;
 	else
@@ -427,10 +433,15 @@
 static void on_timeout(struct cs_timer *t, void *arg)
 {
 	struct conn *c = arg;
-	uint64_t idle_us = c->owner->idle_s * CS_US_PER_S, since = 0, next_us;
+	unsigned idle_s = c->owner->idle_s;
+	uint64_t idle_us, since = 0, next_us;
 
 	if (c->output_due && client_takes_output(c))
-		c->active_us = cs_mono_us();
+		conn_active(c);
+	/* A client may not know yet that the timeout was lowered. */
+	if (c->idle && c->idle_s > idle_s)
+		idle_s = c->idle_s;
+	idle_us = idle_s * CS_US_PER_S;
 	if (c->awaits_client)
 		since = cs_mono_us() - c->active_us;
 	next_us = since < idle_us ? idle_us - since : idle_us;
@@ -451,7 +462,7 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	c->owner = g;
 	c->fd = fd;
-	c->active_us = cs_mono_us();
+	conn_active(c);
 	TAILQ_INIT(&c->calls);
 	ev_io_init(&c->readable, on_readable, fd, EV_READ);
 	ev_io_init(&c->writable, on_writable, fd, EV_WRITE);
--- a/lib/proxy/ingress.h
+++ b/lib/proxy/ingress.h
@@ -97,7 +97,7 @@
 				     const struct cs_ingress_opts *opts, struct cs_msg *msg);
 void cs_ingress_destroy(struct cs_ingress *g);
 uint16_t cs_ingress_port(const struct cs_ingress *g);
-/* Sets the idle timeout of all connections. */
+/* Sets the idle timeout. Connections that are idle keep the one before if that is longer. */
 void cs_ingress_set_idle_timeout(struct cs_ingress *g, unsigned idle_s);
 /* Closes each connection after its last response in progress from now on, and announces that. */
 void cs_ingress_disable_keep_alive(struct cs_ingress *g);
--- a/tests/unit/test-ingress.c
+++ b/tests/unit/test-ingress.c
@@ -1133,6 +1133,39 @@
 	fixture_destroy(&f);
 }
 
+/*
+ * Guards against a connection that is closed earlier than its client expects: the idle timeout was
+ * lowered while it was idle.
+ */
+static void test_idle_lowered(void)
+{
+	GString *text = g_string_new("");
+	struct fixture f;
+	int fd;
+
+	fixture_init(&f);
+	f.respond = true;
+	cs_ingress_set_idle_timeout(f.ingress, 2 * IDLE_S);
+	fd = client_connect(&f);
+	run_ms(&f, 800);
+	send_text(fd, GET_S("0"));
+	g_assert_false(receive(&f, fd, text));
+	cs_ingress_set_idle_timeout(f.ingress, IDLE_S);
+	run_ms(&f, IDLE_EXCEEDED_MS);
+	g_assert_cmpuint(cs_ingress_connections(f.ingress), ==, 1);
+	/* From its next response on the lower one applies. */
+	send_text(fd, GET_S("1"));
+	run_loop(&f, ITERATIONS);
+	g_assert_cmpuint(f.begun, ==, 2);
+	run_ms(&f, 400);
+	g_assert_cmpuint(cs_ingress_connections(f.ingress), ==, 1);
+	run_ms(&f, 2 * IDLE_EXCEEDED_MS);
+	g_assert_cmpuint(cs_ingress_connections(f.ingress), ==, 0);
+	close(fd);
+	g_string_free(text, TRUE);
+	fixture_destroy(&f);
+}
+
 /* Guards against input that is discarded without a report: a request behind the last response. */
 static void test_linger_late(void)
 {
@@ -1440,6 +1473,7 @@
 	g_test_add_func("/ingress/close-idle-resets", test_close_idle_resets);
 	g_test_add_func("/ingress/idle/reads-requests", test_idle_reads_requests);
 	g_test_add_func("/ingress/idle/resets", test_idle_resets);
+	g_test_add_func("/ingress/idle/lowered", test_idle_lowered);
 	g_test_add_func("/ingress/idle/paused-response", test_idle_paused_response);
 	g_test_add_func("/ingress/idle/after-response", test_idle_after_response);
 	g_test_add_func("/ingress/idle/blocked-body", test_idle_blocked_body);
