steer: an instance does not follow one that has not noticed a restored store

A follower goes by the revision of the roots of its zone. One that has learned of a new era before them (or beside an instance of an earlier version, which reports revisions without an era) took them for up to date and made no calls of its own; their word that the store was stable also ended the time for which entries that the copy lacks stay usable. Reports below the first revision of the era do not count now. /steer/restored/instance-behind checks it (new: it was not run without the change).

--- a/lib/steer/members.c
+++ b/lib/steer/members.c
@@ -194,6 +194,11 @@
 	return rank;
 }
 
+void cs_steer_set_first_revision(struct cs_steer *s, uint64_t revision)
+{
+	s->first_revision = revision;
+}
+
 uint64_t cs_steer_watched_revision(const struct cs_steer *s, uint64_t now_us)
 {
 	const struct member *m;
@@ -202,7 +207,7 @@
 	TAILQ_FOREACH(m, &s->members, entry)
 		if (m->zone == s->zone && m->store_fresh && !m->info.leaving &&
 		    now_us - m->last_message_us < PEER_REPORT_MAX_AGE_US &&
-		    m->store_revision > revision)
+		    m->store_revision >= s->first_revision && m->store_revision > revision)
 			revision = m->store_revision;
 	return revision;
 }
@@ -212,7 +217,7 @@
 	const struct member *m;
 
 	TAILQ_FOREACH(m, &s->members, entry)
-		if (m->info.store_stable && m->store_revision >= s->restored_revision &&
+		if (m->info.store_stable && m->store_revision >= s->first_revision &&
 		    now_us - m->last_message_us < PEER_REPORT_MAX_AGE_US)
 			return true;
 	return false;
--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -240,10 +240,9 @@
 	}
 }
 
-void cs_steer_store_restored(struct cs_steer *s, uint64_t revision)
+void cs_steer_store_restored(struct cs_steer *s)
 {
 	s->restored = true;
-	s->restored_revision = revision;
 }
 
 void cs_steer_set_evacuated(struct cs_steer *s, const char *zone, bool on, uint64_t now_us)
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -218,7 +218,7 @@
 	bool store_fresh; /* this instance watches the store, which responded recently */
 	bool full_read; /* the store's entries are being read, whenever they were written */
 	bool restored; /* the store was restored, and its entries were not read since */
-	uint64_t restored_revision; /* the lowest one since then */
+	uint64_t first_revision; /* the lowest one of the store's present state */
 	/* Until then servers' entries may be out of date, as no instance reached the store. */
 	uint64_t entries_doubtful_until_us;
 	unsigned n_cold_owners_unlogged; /* servers for cs_steer_next_cold_owner_change */
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -87,11 +87,13 @@
  */
 void cs_steer_full_read_begin(struct cs_steer *s);
 void cs_steer_full_read_end(struct cs_steer *s, uint64_t removal_grace_us, uint64_t now_us);
+/* Sets the lowest revision of the store's present state; instances below it do not have that. */
+void cs_steer_set_first_revision(struct cs_steer *s, uint64_t revision);
 /*
- * The store was restored from a copy. Revisions from this one on are of its present state. Until
- * the end of the next full read, entries older than those known here are not believed.
+ * The store was restored from a copy. Until the end of the next full read, entries older than those
+ * known here are not believed.
  */
-void cs_steer_store_restored(struct cs_steer *s, uint64_t revision);
+void cs_steer_store_restored(struct cs_steer *s);
 /* Starts or ends the evacuation of a zone, during which nothing is sent to its servers. */
 void cs_steer_set_evacuated(struct cs_steer *s, const char *zone, bool on, uint64_t now_us);
 /* Number of servers that are listed in the store and not draining. */
--- a/src/node/store-sync.c
+++ b/src/node/store-sync.c
@@ -356,12 +356,13 @@
 		return false;
 	ss->era = era;
 	ss->era_known = true;
+	cs_steer_set_first_revision(n->steer, era * PLATFORM_ERA_REVISIONS);
 	if (!restored)
 		return false;
 	cs_event(n->events, CS_EVENT_IMPORTANT, "store.restored", "era=%llu revision=%llu",
 		 (unsigned long long)era, (unsigned long long)ss->state.revision);
 	cs_feed_restored(&ss->state, now);
-	cs_steer_store_restored(n->steer, era * PLATFORM_ERA_REVISIONS);
+	cs_steer_store_restored(n->steer);
 	registration_repeat(n->registration);
 	cs_timer_start(n->timers, &ss->restored_timer, CS_FEED_REWRITE_US);
 	return true;
--- a/tests/unit/test-steer-restored.c
+++ b/tests/unit/test-steer-restored.c
@@ -3,7 +3,7 @@
 
 #include "tests/unit/steer-fixture.h"
 
-#define RESTORED_REVISION 1000000000000000ULL
+#define FIRST_REVISION 1000000000000000ULL
 /* Longer than an entry of a server that is gone stays in a restored store. */
 #define HOLD_US MS(6500)
 
@@ -81,7 +81,7 @@
 		g_assert_true(is_used(s, now));
 		cs_steer_remove_server(s, "s1", 0, now);
 		fixture_run(s, &now, now + MS(5000));
-		cs_steer_store_restored(s, RESTORED_REVISION);
+		cs_steer_store_restored(s);
 		full_read(s, entries[i].started_ms, entries[i].sequence, now);
 		g_assert_cmpint(is_used(s, now), ==, entries[i].used);
 		fixture_run(s, &now, now + HOLD_US);
@@ -97,7 +97,7 @@
 	struct cs_steer *s = one_server(now);
 
 	cs_steer_remove_server(s, "s1", 0, now);
-	cs_steer_store_restored(s, RESTORED_REVISION);
+	cs_steer_store_restored(s);
 	full_read(s, 2000, 5, now);
 	fixture_run(s, &now, now + MS(1000));
 	cs_steer_remove_server(s, "s1", MS(1000), now);
@@ -116,22 +116,48 @@
 	uint64_t now = MS(100000);
 	struct cs_steer *s = one_server(now);
 
-	cs_steer_store_restored(s, RESTORED_REVISION);
+	cs_steer_store_restored(s);
 	full_read(s, 0, 0, now);
 	g_assert_true(is_used(s, now));
 	write_entry(s, 2000, 6, true, now);
 	g_assert_false(is_used(s, now));
-	cs_steer_store_restored(s, 2 * RESTORED_REVISION);
+	cs_steer_store_restored(s);
 	full_read(s, 2000, 5, now);
 	g_assert_false(is_used(s, now));
 	cs_steer_destroy(s);
 }
 
+/* Guards against an instance that follows one which has not noticed the restoration. */
+static void test_instance_behind(void)
+{
+	struct cs_steer_report r = {.name = "i2", .boot = 1, .ready = true};
+	uint64_t now = MS(100000);
+	struct cs_steer *s = one_server(now);
+
+	fixture_add_member(s, "i2", "a1", now);
+	r.seq = now + 1;
+	r.store_fresh = r.store_stable = true;
+	r.store_revision = 700;
+	cs_steer_handle_report(s, &r, now);
+	g_assert_cmpuint(cs_steer_watched_revision(s, now), ==, 700);
+	g_assert_true(cs_steer_store_stable(s, now));
+	cs_steer_set_first_revision(s, FIRST_REVISION);
+	g_assert_cmpuint(cs_steer_watched_revision(s, now), ==, 0);
+	g_assert_false(cs_steer_store_stable(s, now));
+	r.seq++;
+	r.store_revision = FIRST_REVISION + 690;
+	cs_steer_handle_report(s, &r, now);
+	g_assert_cmpuint(cs_steer_watched_revision(s, now), ==, FIRST_REVISION + 690);
+	g_assert_true(cs_steer_store_stable(s, now));
+	cs_steer_destroy(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/steer/restored/removed", test_removed);
 	g_test_add_func("/steer/restored/removed-while-held", test_removed_while_held);
 	g_test_add_func("/steer/restored/present", test_present);
+	g_test_add_func("/steer/restored/instance-behind", test_instance_behind);
 	return g_test_run();
 }
