platform: a response of the store without an era is of the current one

A refusal that something in front of the store sends may lack Store-Era. Taken for era 0 it would have been older than any other, and an answer to a first call that way the beginning of a restoration. The header now counts only if it has a number, and only responses with contents show a new era. /platform/store/era checks both; document.in_force has the idle timeout.

--- a/lib/http/fetch.c
+++ b/lib/http/fetch.c
@@ -1,4 +1,5 @@
 /* HTTP client requests whose response is buffered up to a limit. */
+#include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -25,6 +26,7 @@
 	void (*large_cb)(void *arg);
 	size_t large;
 	const char *number_header;
+	bool has_number;
 	uint64_t number;
 	uint64_t response_us; /* when the response began; 0: it has not */
 	struct cs_timer first_byte_timer; /* active until the response begins */
@@ -130,23 +132,28 @@
 	return len;
 }
 
-/* Parses the value of a header line if the line has the name; returns 0 for another line. */
-static uint64_t parse_number(const char *line, size_t len, const char *name)
+/* Keeps the value of a header line if the line has the name that was asked for, and a number. */
+static void record_number(struct cs_fetch *f, const char *line, size_t len)
 {
-	size_t name_len = strlen(name);
-	char value[32];
+	size_t name_len = f->number_header != NULL ? strlen(f->number_header) : 0;
+	char value[32], *end;
+	uint64_t number;
 
-	if (len <= name_len || line[name_len] != ':' || strncasecmp(line, name, name_len) != 0)
-		return 0;
+	if (name_len == 0 || len <= name_len || line[name_len] != ':' ||
+	    strncasecmp(line, f->number_header, name_len) != 0)
+		return;
 	snprintf(value, sizeof(value), "%.*s", (int)(len - name_len - 1), line + name_len + 1);
-	return strtoull(value, NULL, 10);
+	number = strtoull(value, &end, 10);
+	if (end == value || !isspace((unsigned char)*end))
+		return;
+	f->has_number = true;
+	f->number = number;
 }
 
 static size_t on_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct cs_fetch *f = arg;
 	size_t len = size * n;
-	uint64_t number;
 
 	cs_timer_stop(&f->first_byte_timer);
 	if (f->response_us == 0)
@@ -154,9 +161,7 @@
 	f->head_len += len;
 	if (f->head_len > HEAD_MAX)
 		return 0;
-	number = f->number_header != NULL ? parse_number(data, len, f->number_header) : 0;
-	if (number > 0)
-		f->number = number;
+	record_number(f, data, len);
 	return len;
 }
 
@@ -169,7 +174,8 @@
 /* Passes the result to the callback and frees the fetch. */
 static void finish(struct cs_fetch *f, CURLcode code)
 {
-	struct cs_fetch_result res = {.code = code, .number = f->number};
+	struct cs_fetch_result res = {
+		.code = code, .has_number = f->has_number, .number = f->number};
 
 	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &res.status);
 	res.body = f->body ? f->body : "";
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -90,7 +90,8 @@
 	long status; /* HTTP status; 0 without a response */
 	const char *body; /* NUL-terminated; valid during the callback */
 	size_t len;
-	uint64_t number; /* value of number_header; 0 if it is absent or no number */
+	bool has_number; /* number_header is there and has a number */
+	uint64_t number; /* its value; 0 without one */
 	uint64_t receive_us; /* time from the first byte of the response to its end */
 	const char *error;
 };
--- a/src/node/document-load.c
+++ b/src/node/document-load.c
@@ -120,10 +120,12 @@
 	if (doc->idle_timeout_ms > 0)
 		cs_ingress_set_idle_timeout(n->ingress, doc->idle_timeout_ms / 1000 + 1);
 	cs_event(n->events, CS_EVENT_IMPORTANT, "document.in_force",
-		 "version=%llu revision=%llu problems=%u routes=%u bytes=%zu install_ms=%llu",
+		 "version=%llu revision=%llu problems=%u routes=%u bytes=%zu install_ms=%llu "
+		 "idle_timeout_ms=%u",
 		 (unsigned long long)doc->version, (unsigned long long)from->revision,
 		 doc->n_problems, doc->n_routes, from->len,
-		 (unsigned long long)(now - from->received_us) / CS_US_PER_MS);
+		 (unsigned long long)(now - from->received_us) / CS_US_PER_MS,
+		 doc->idle_timeout_ms);
 	for (i = 0; i < doc->n_problems && i < CS_DOCUMENT_PROBLEMS_MAX; i++)
 		cs_event(n->events, CS_EVENT_IMPORTANT, "document.problem",
 			 "version=%llu why=\"%s\"", (unsigned long long)doc->version,
--- a/src/node/store-sync.c
+++ b/src/node/store-sync.c
@@ -352,7 +352,7 @@
 	uint64_t era = platform_store_era(n->store);
 	bool restored = ss->era_known && era != ss->era;
 
-	if (resp->status == PLATFORM_NO_ANSWER)
+	if (resp->status != PLATFORM_OK && resp->status != PLATFORM_HISTORY_LOST)
 		return false;
 	ss->era = era;
 	ss->era_known = true;
@@ -389,7 +389,6 @@
 	ss->call = NULL;
 	log_slow_response(ss, resp);
 	if (resp->status != PLATFORM_OK) {
-		check_era(ss, resp, now);
 		call_failed(ss, resp);
 	} else if (!check_era(ss, resp, now)) {
 		for (i = 0; i < resp->n_items; i++)
--- a/tests/unit/test-platform-store.c
+++ b/tests/unit/test-platform-store.c
@@ -298,6 +298,12 @@
 	close(f.fd);
 	make_call(&f, CALL_RANGE, NULL, page);
 	g_assert_cmpint(f.status, ==, PLATFORM_NO_ANSWER);
+	/* Without a number, as responses of the store have one always. */
+	f.era = "3x";
+	close(f.fd);
+	make_call(&f, CALL_RANGE, NULL, page);
+	g_assert_cmpint(f.status, ==, PLATFORM_OK);
+	g_assert_cmpuint(f.revision, ==, 4 * PLATFORM_ERA_REVISIONS + 70);
 	f.era = "99999999999999999999";
 	close(f.fd);
 	make_call(&f, CALL_RANGE, NULL, page);
