proxy: responses state the idle timeout

A request that crossed the close got no answer. Responses on connections that stay open have Keep-Alive: timeout=N now, a second less than the idle timeout.

--- a/lib/proxy/client-write.c
+++ b/lib/proxy/client-write.c
@@ -18,6 +18,11 @@
 #define WRITE_TURN_MAX ((size_t)128 * 1024)
 /* Room for the size line and line ends of a chunk. */
 #define CHUNK_OVERHEAD 16
+/*
+ * Clients are told to use a connection for this much less than the idle timeout, so that their next
+ * request does not cross its close.
+ */
+#define IDLE_MARGIN_S 1
 /* Output buffers up to this size are kept between responses. */
 #define OUTPUT_KEEP_MAX ((size_t)4 * 1024)
 /* Clients without a deadline are taken to wait this long after their response. */
@@ -92,9 +97,9 @@
 	out_text(c, "\r\n");
 }
 
-static bool is_framing_header(const char *name)
+static bool is_connection_header(const char *name)
 {
-	return strcasecmp(name, "Content-Length") == 0 ||
+	return strcasecmp(name, "Keep-Alive") == 0 || strcasecmp(name, "Content-Length") == 0 ||
 	       strcasecmp(name, "Transfer-Encoding") == 0 || strcasecmp(name, "Connection") == 0;
 }
 
@@ -138,15 +143,20 @@
 		 reason_phrase(call->status));
 	out_text(c, line);
 	while (head_next(&call->lines, &at, &name, &value)) {
-		if (is_framing_header(name))
+		if (is_connection_header(name))
 			continue;
 		has_date |= strcasecmp(name, "Date") == 0;
 		out_header(c, name, value);
 	}
 	if (!has_date)
 		out_text(c, date_line());
-	if (call->close_after)
+	if (call->close_after) {
 		out_text(c, "Connection: close\r\n");
+	} else if (c->owner->idle_s > IDLE_MARGIN_S) {
+		snprintf(line, sizeof(line), "Keep-Alive: timeout=%u\r\n",
+			 c->owner->idle_s - IDLE_MARGIN_S);
+		out_text(c, line);
+	}
 	if (call->size != UINT64_MAX && call->status != 204) {
 		snprintf(line, sizeof(line), "Content-Length: %llu\r\n",
 			 (unsigned long long)call->size);
--- a/tests/unit/test-ingress.c
+++ b/tests/unit/test-ingress.c
@@ -1166,6 +1166,31 @@
 	fixture_destroy(&f);
 }
 
+/* Guards against clients that use a connection until it is closed, as they do not know when. */
+static void test_idle_announced(void)
+{
+	GString *text = g_string_new("");
+	struct fixture f;
+	int fd;
+
+	fixture_init(&f);
+	f.respond = true;
+	cs_ingress_set_idle_timeout(f.ingress, 16);
+	fd = client_connect(&f);
+	send_text(fd, GET_S("0"));
+	g_assert_false(receive(&f, fd, text));
+	g_assert_nonnull(strstr(text->str, "\r\nKeep-Alive: timeout=15\r\n"));
+	g_string_truncate(text, 0);
+	cs_ingress_disable_keep_alive(f.ingress);
+	send_text(fd, GET_S("1"));
+	g_assert_true(receive(&f, fd, text));
+	g_assert_nonnull(strstr(text->str, "\r\nConnection: close\r\n"));
+	g_assert_null(strstr(text->str, "Keep-Alive"));
+	close(fd);
+	g_string_free(text, TRUE);
+	fixture_destroy(&f);
+}
+
 /* Guards against input that is discarded without a report: a request behind the last response. */
 static void test_linger_late(void)
 {
@@ -1474,6 +1499,7 @@
 	g_test_add_func("/ingress/idle/reads-requests", test_idle_reads_requests);
 	g_test_add_func("/ingress/idle/resets", test_idle_resets);
 	g_test_add_func("/ingress/idle/lowered", test_idle_lowered);
+	g_test_add_func("/ingress/idle/announced", test_idle_announced);
 	g_test_add_func("/ingress/idle/paused-response", test_idle_paused_response);
 	g_test_add_func("/ingress/idle/after-response", test_idle_after_response);
 	g_test_add_func("/ingress/idle/blocked-body", test_idle_blocked_body);
