steer: a server whose old entry is held is not forgotten meanwhile

Its entry had been removed up to 30 s before the store was restored, and was believed 6 s after that; at 30 s the server was freed, and unused until it wrote its entry again. Found in reading the change again; /steer/restored/held-long-after-removal failed before (is_used(s, now) should be TRUE). An instance that has registered in the new era already does not do so a second time.

--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -377,7 +377,8 @@
 static bool is_retained(const struct cs_backend *b, uint64_t now_us)
 {
 	return leaving_is_retained(b, now_us) || cs_backend_is_limited(b) ||
-	       now_us < b->retry_after_us || now_us - b->unlisted_us < COPY_MAX_AGE_US;
+	       now_us < b->retry_after_us || b->held_until_us > 0 ||
+	       now_us - b->unlisted_us < COPY_MAX_AGE_US;
 }
 
 void servers_sweep(struct cs_steer *s, uint64_t now_us)
--- a/src/node/registration.c
+++ b/src/node/registration.c
@@ -125,7 +125,8 @@
 
 void registration_repeat(struct registration *r)
 {
-	if (r->state != REGISTRATION_NO_KEY && r->state != REGISTRATION_LISTED)
+	if ((r->state != REGISTRATION_NO_KEY && r->state != REGISTRATION_LISTED) ||
+	    !lease_is_doubtful(r))
 		return;
 	platform_cancel(r->call);
 	r->call = NULL;
--- a/tests/unit/test-steer-restored.c
+++ b/tests/unit/test-steer-restored.c
@@ -110,6 +110,22 @@
 	cs_steer_destroy(s);
 }
 
+/* Guards against a server that is forgotten while its old entry is not believed yet. */
+static void test_held_long_after_removal(void)
+{
+	uint64_t now = MS(100000);
+	struct cs_steer *s = one_server(now);
+
+	cs_steer_remove_server(s, "s1", 0, now);
+	fixture_run(s, &now, now + MS(28000));
+	cs_steer_store_restored(s);
+	full_read(s, 2000, 5, now);
+	g_assert_false(is_used(s, now));
+	fixture_run(s, &now, now + HOLD_US);
+	g_assert_true(is_used(s, now));
+	cs_steer_destroy(s);
+}
+
 /* Guards against a server that drains and is used again, and against one whose entry was lost. */
 static void test_present(void)
 {
@@ -157,6 +173,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/steer/restored/removed", test_removed);
 	g_test_add_func("/steer/restored/removed-while-held", test_removed_while_held);
+	g_test_add_func("/steer/restored/held-long-after-removal", test_held_long_after_removal);
 	g_test_add_func("/steer/restored/present", test_present);
 	g_test_add_func("/steer/restored/instance-behind", test_instance_behind);
 	return g_test_run();
