proxy, node: one margin of the idle timeout

The margin between the idle timeout that clients are told and the close was added in src/node/document-load.c and taken off in lib/proxy/client-write.c, as two constants that had to agree. Both use CS_IDLE_MARGIN_S now.

--- a/lib/proxy/client-write.c
+++ b/lib/proxy/client-write.c
@@ -18,11 +18,6 @@
 #define WRITE_TURN_MAX ((size_t)128 * 1024)
 /* Room for the size line and line ends of a chunk. */
 #define CHUNK_OVERHEAD 16
-/*
- * Clients are told to use a connection for this much less than the idle timeout, so that their next
- * request does not cross its close.
- */
-#define IDLE_MARGIN_S 1
 /* Output buffers up to this size are kept between responses. */
 #define OUTPUT_KEEP_MAX ((size_t)4 * 1024)
 /* Clients without a deadline are taken to wait this long after their response. */
@@ -152,9 +147,9 @@
 		out_text(c, date_line());
 	if (call->close_after) {
 		out_text(c, "Connection: close\r\n");
-	} else if (c->owner->idle_s > IDLE_MARGIN_S) {
+	} else if (c->owner->idle_s > CS_IDLE_MARGIN_S) {
 		snprintf(line, sizeof(line), "Keep-Alive: timeout=%u\r\n",
-			 c->owner->idle_s - IDLE_MARGIN_S);
+			 c->owner->idle_s - CS_IDLE_MARGIN_S);
 		out_text(c, line);
 	}
 	if (call->size != UINT64_MAX && call->status != 204) {
--- a/lib/proxy/ingress.h
+++ b/lib/proxy/ingress.h
@@ -18,6 +18,12 @@
 struct cs_ingress;
 struct cs_call;
 
+/*
+ * Clients are told to use a connection for this much less than the idle timeout, so that their next
+ * request does not cross its close.
+ */
+#define CS_IDLE_MARGIN_S 1
+
 /* Results of cs_ingress_ops.read other than a number of bytes. */
 #define CS_READ_AGAIN 0 /* no data yet; call cs_call_resume when there is some */
 #define CS_READ_END (-1)
--- a/src/node/document-load.c
+++ b/src/node/document-load.c
@@ -118,7 +118,8 @@
 	*n->stats.document = (int64_t)doc->version;
 	*n->stats.document_problems = doc->n_problems;
 	if (doc->idle_timeout_ms > 0)
-		cs_ingress_set_idle_timeout(n->ingress, doc->idle_timeout_ms / 1000 + 1);
+		cs_ingress_set_idle_timeout(n->ingress,
+					    doc->idle_timeout_ms / 1000 + CS_IDLE_MARGIN_S);
 	cs_event(n->events, CS_EVENT_IMPORTANT, "document.in_force",
 		 "version=%llu revision=%llu problems=%u routes=%u bytes=%zu install_ms=%llu "
 		 "idle_timeout_ms=%u",
