tests: relays of the soaks, calls with an era, removals before a restoration

change-soak and stop-soak set up their relays alike (start_relays); /platform-store/era, which was named /platform/store/era unlike its neighbours, and /steer/restored/* repeated their steps. The assertions are the same.

--- a/tests/run/change-soak.sh
+++ b/tests/run/change-soak.sh
@@ -17,15 +17,7 @@
 # Time within which a document is in force, in ms.
 apply_ms=4000
 
-rows="" targets=""
-for n in $(seq "$instances"); do
-	rows="$rows${rows:+,}{\"address\":\"127.$run.8.$((10 + n))\",\"port\":8144,\"to_address\":\"127.$run.$n.1\",\"to_port\":8144,\"zone\":\"n$n\"}"
-	targets="$targets${targets:+,}127.$run.$n.1:8144,127.$run.8.$((10 + n)):8144"
-done
-printf '{"listeners":[%s],"sources":[{"prefix":"127.","zone":"any"}],"links":[]}' "$rows" >"$dir/links.json"
-start links "$build/bin/standin-links" --list "$dir/links.json" --control-address "127.$run.8.2"
-wait_for 5 curl -sS "http://127.$run.8.2:8701/standin/stats"
-curl -sS "http://127.$run.8.2:8701/standin/link?ms=$delay_ms" >/dev/null
+start_relays
 export SLOTS=${SLOTS:-16}
 start_platform
 start faulty "$build/bin/standin-faulty" "127.$run.8.1" 9000 "$dir/faulty.txt"
--- a/tests/run/node-lib.sh
+++ b/tests/run/node-lib.sh
@@ -95,6 +95,21 @@
 		-H 'Host: h.example' -H "Cassiascale-Attempt-Id: s-$RANDOM$RANDOM" -H 'Cassiascale-Deadline-Milliseconds: 3000' "$@" 2>/dev/null
 }
 
+# start_relays: starts a relay in front of each of the $instances instances that delays by $delay_ms, and sets targets
+# to the addresses of the instances and their relays.
+start_relays() {
+	local n rows=""
+	targets=""
+	for n in $(seq "$instances"); do
+		rows="$rows${rows:+,}{\"address\":\"127.$run.8.$((10 + n))\",\"port\":8144,\"to_address\":\"127.$run.$n.1\",\"to_port\":8144,\"zone\":\"n$n\"}"
+		targets="$targets${targets:+,}127.$run.$n.1:8144,127.$run.8.$((10 + n)):8144"
+	done
+	printf '{"listeners":[%s],"sources":[{"prefix":"127.","zone":"any"}],"links":[]}' "$rows" >"$dir/links.json"
+	start links "$build/bin/standin-links" --list "$dir/links.json" --control-address "127.$run.8.2"
+	wait_for 5 curl -sS "http://127.$run.8.2:8701/standin/stats"
+	curl -sS "http://127.$run.8.2:8701/standin/link?ms=$delay_ms" >/dev/null
+}
+
 # Ends a check script: checks the instances' logs and exits with 1 if any check failed.
 finish() {
 	ok "no errors and no sanitizer reports in the logs" lacks "$(cat "$dir"/node*.log)" '^<[0-3]>|ERROR: (Address|Leak)Sanitizer|runtime error'
--- a/tests/run/stop-soak.sh
+++ b/tests/run/stop-soak.sh
@@ -15,15 +15,7 @@
 grace_ms=6000
 route_timeout_ms=5000
 
-rows="" targets="" sources=""
-for n in $(seq "$instances"); do
-	rows="$rows${rows:+,}{\"address\":\"127.$run.8.$((10 + n))\",\"port\":8144,\"to_address\":\"127.$run.$n.1\",\"to_port\":8144,\"zone\":\"n$n\"}"
-	targets="$targets${targets:+,}127.$run.$n.1:8144,127.$run.8.$((10 + n)):8144"
-done
-printf '{"listeners":[%s],"sources":[{"prefix":"127.","zone":"any"}],"links":[]}' "$rows" >"$dir/links.json"
-start links "$build/bin/standin-links" --list "$dir/links.json" --control-address "127.$run.8.2"
-wait_for 5 curl -sS "http://127.$run.8.2:8701/standin/stats"
-curl -sS "http://127.$run.8.2:8701/standin/link?ms=$delay_ms" >/dev/null
+start_relays
 # Room for about three quarters of the default load.
 export SLOTS=${SLOTS:-8}
 start_platform
--- a/tests/unit/test-platform-store.c
+++ b/tests/unit/test-platform-store.c
@@ -267,6 +267,15 @@
 	fixture_destroy(&f);
 }
 
+/* Makes a further call, whose response has the given era. */
+static void call_era(struct fixture *f, const char *era, enum call_kind kind, const char *body)
+{
+	if (f->fd > 0)
+		close(f->fd);
+	f->era = era;
+	make_call(f, kind, NULL, body);
+}
+
 /* Guards against revisions that a restored store has given out again. */
 static void test_era(void)
 {
@@ -275,38 +284,27 @@
 	struct fixture f;
 
 	fixture_init(&f);
-	f.era = "3";
-	make_call(&f, CALL_RANGE, NULL, page);
+	call_era(&f, "3", CALL_RANGE, page);
 	g_assert_cmpint(f.status, ==, PLATFORM_OK);
 	g_assert_cmpuint(f.revision, ==, 3 * PLATFORM_ERA_REVISIONS + 70);
 	f.after = f.revision;
-	close(f.fd);
-	make_call(&f, CALL_WATCH, NULL, changes);
+	call_era(&f, "3", CALL_WATCH, changes);
 	g_assert_cmpint(f.status, ==, PLATFORM_OK);
 	g_assert_cmpuint(f.revision, ==, 3 * PLATFORM_ERA_REVISIONS + 75);
 	/* Restored, and past the revision that is known. */
-	f.era = "4";
-	close(f.fd);
-	make_call(&f, CALL_WATCH, NULL, changes);
+	call_era(&f, "4", CALL_WATCH, changes);
 	g_assert_cmpint(f.status, ==, PLATFORM_HISTORY_LOST);
 	g_assert_cmpuint(platform_store_era(f.store), ==, 4);
-	close(f.fd);
-	make_call(&f, CALL_RANGE, NULL, page);
+	call_era(&f, "4", CALL_RANGE, page);
 	g_assert_cmpuint(f.revision, ==, 4 * PLATFORM_ERA_REVISIONS + 70);
-	/* Sent before the restoration, or not by the store. */
-	f.era = "3";
-	close(f.fd);
-	make_call(&f, CALL_RANGE, NULL, page);
+	/* Sent before the restoration. */
+	call_era(&f, "3", CALL_RANGE, page);
 	g_assert_cmpint(f.status, ==, PLATFORM_NO_ANSWER);
-	/* Without a number, as responses of the store have one always. */
-	f.era = "3x";
-	close(f.fd);
-	make_call(&f, CALL_RANGE, NULL, page);
+	/* No number: not the store's. */
+	call_era(&f, "3x", CALL_RANGE, page);
 	g_assert_cmpint(f.status, ==, PLATFORM_OK);
 	g_assert_cmpuint(f.revision, ==, 4 * PLATFORM_ERA_REVISIONS + 70);
-	f.era = "99999999999999999999";
-	close(f.fd);
-	make_call(&f, CALL_RANGE, NULL, page);
+	call_era(&f, "99999999999999999999", CALL_RANGE, page);
 	g_assert_cmpint(f.status, ==, PLATFORM_NO_ANSWER);
 	g_assert_cmpuint(platform_store_era(f.store), ==, 4);
 	fixture_destroy(&f);
@@ -321,6 +319,6 @@
 	g_test_add_func("/platform-store/range-without-revision", test_range_without_revision);
 	g_test_add_func("/platform-store/response-to-watch-not-range",
 			test_response_to_watch_not_range);
-	g_test_add_func("/platform/store/era", test_era);
+	g_test_add_func("/platform-store/era", test_era);
 	return g_test_run();
 }
--- a/tests/unit/test-steer-restored.c
+++ b/tests/unit/test-steer-restored.c
@@ -60,6 +60,14 @@
 	cs_steer_full_read_end(s, MS(2000), now);
 }
 
+/* Removes s1, and restores the store some time later. */
+static void remove_and_restore(struct cs_steer *s, uint64_t *now, uint64_t later_us)
+{
+	cs_steer_remove_server(s, "s1", 0, *now);
+	fixture_run(s, now, *now + later_us);
+	cs_steer_store_restored(s);
+}
+
 /* Guards against a server that is used again after it has left, as a restored store has its entry. */
 static void test_removed(void)
 {
@@ -79,9 +87,7 @@
 		now = MS(100000);
 		s = one_server(now);
 		g_assert_true(is_used(s, now));
-		cs_steer_remove_server(s, "s1", 0, now);
-		fixture_run(s, &now, now + MS(5000));
-		cs_steer_store_restored(s);
+		remove_and_restore(s, &now, MS(5000));
 		full_read(s, entries[i].started_ms, entries[i].sequence, now);
 		g_assert_cmpint(is_used(s, now), ==, entries[i].used);
 		fixture_run(s, &now, now + HOLD_US);
@@ -96,8 +102,7 @@
 	uint64_t now = MS(100000);
 	struct cs_steer *s = one_server(now);
 
-	cs_steer_remove_server(s, "s1", 0, now);
-	cs_steer_store_restored(s);
+	remove_and_restore(s, &now, 0);
 	full_read(s, 2000, 5, now);
 	fixture_run(s, &now, now + MS(1000));
 	cs_steer_remove_server(s, "s1", MS(1000), now);
@@ -116,9 +121,7 @@
 	uint64_t now = MS(100000);
 	struct cs_steer *s = one_server(now);
 
-	cs_steer_remove_server(s, "s1", 0, now);
-	fixture_run(s, &now, now + MS(28000));
-	cs_steer_store_restored(s);
+	remove_and_restore(s, &now, MS(28000));
 	full_read(s, 2000, 5, now);
 	g_assert_false(is_used(s, now));
 	fixture_run(s, &now, now + HOLD_US);
