--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 LDLIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lhttp_parser -lm
 LDFLAGS += $(SAN)
 
-LIBS := base model wire policy store http bus link proxy steer
+LIBS := base workspace model wire policy store http bus link proxy steer
 lib_src := $(foreach l,$(LIBS),$(wildcard lib/$(l)/*.c))
 platform_obj := $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
 lib_obj := $(lib_src:%.c=$(BUILD)/%.o)
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -68,6 +68,8 @@
 bool cs_copy(char *dst, size_t size, const char *src);
 
 uint64_t cs_mono_us(void);
+/* Like cs_mono_us, but also counts while the machine is suspended. */
+uint64_t cs_boottime_us(void);
 /* Wall clock in ms since 1970; only for deadlines set by operators and for records. */
 int64_t cs_wall_ms(void);
 
--- a/lib/base/util.c
+++ b/lib/base/util.c
@@ -86,6 +86,14 @@
 	return (uint64_t)ts.tv_sec * CS_US_PER_S + (uint64_t)ts.tv_nsec / 1000;
 }
 
+uint64_t cs_boottime_us(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (uint64_t)ts.tv_sec * CS_US_PER_S + (uint64_t)ts.tv_nsec / 1000;
+}
+
 int64_t cs_wall_ms(void)
 {
 	struct timespec ts;
--- a/lib/steer/admission.c
+++ b/lib/steer/admission.c
@@ -19,6 +19,8 @@
  * requests are refused at once.
  */
 #define QUEUED_PER_SLOT_MAX 1.0
+/* Part of the queue that requests of workspaces over their fair share may fill. */
+#define OVER_SHARE_QUEUE_FRACTION 0.5
 /* Bounds of Retry-After, as a fraction of the time that the client has left. */
 #define RETRY_AFTER_FRACTION_MIN 0.1
 #define RETRY_AFTER_FRACTION_MAX 0.32
@@ -81,12 +83,23 @@
 	return sum;
 }
 
+/* True if the request's workspace lately got more than its fair share of the service. */
+static bool is_over_share(const struct cs_steer_service *svc, const struct cs_steer_request *req,
+			  uint64_t now_us)
+{
+	return req->workspace != 0 && cs_fair_is_over(svc->fair, req->workspace, now_us);
+}
+
 /* True if the queue is too long for the request to be served in time. */
 static bool queue_full(const struct cs_steer *s, const struct cs_steer_service *svc,
 		       const struct cs_steer_request *req, uint64_t now_us)
 {
-	return svc->n_waiting + 1 > 4 + QUEUED_PER_SLOT_MAX * allowed_slots(s, svc, req) /
-						    cs_steer_count_members(s, now_us);
+	double most = 4 + QUEUED_PER_SLOT_MAX * allowed_slots(s, svc, req) /
+				  cs_steer_count_members(s, now_us);
+
+	if (is_over_share(svc, req, now_us))
+		most *= OVER_SHARE_QUEUE_FRACTION;
+	return svc->n_waiting + 1 > most;
 }
 
 static void decide_wait(struct cs_steer_service *svc, struct cs_steer_request *req,
@@ -176,13 +189,21 @@
 }
 
 /*
- * True if a is served before b: the more urgent first, then the newer. Under overload only the
- * newest requests can still meet their target; the older ones miss it in any order.
+ * True if a is served before b: the more urgent first, then those of workspaces within their fair
+ * share, then the newer. Under overload only the newest requests can still meet their target; the
+ * older ones miss it in any order.
  */
-static bool has_precedence(const struct cs_steer_request *a, const struct cs_steer_request *b)
+static bool has_precedence(const struct cs_steer_service *svc, const struct cs_steer_request *a,
+			   const struct cs_steer_request *b, uint64_t now_us)
 {
+	bool a_over, b_over;
+
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
+	a_over = is_over_share(svc, a, now_us);
+	b_over = is_over_share(svc, b, now_us);
+	if (a_over != b_over)
+		return b_over;
 	return a->arrived_us > b->arrived_us;
 }
 
@@ -223,7 +244,7 @@
 		TAILQ_FOREACH(req, &svc->waiting, entry) {
 			if (req->region >= 0 && (blocked >> req->region & 1))
 				continue;
-			if (best == NULL || has_precedence(req, best))
+			if (best == NULL || has_precedence(svc, req, best, now_us))
 				best = req;
 		}
 		if (best == NULL)
--- a/lib/steer/document.c
+++ b/lib/steer/document.c
@@ -60,6 +60,7 @@
 	}
 	free(doc->routes);
 	free(doc->services);
+	cs_workspace_table_destroy(doc->workspaces);
 	free(doc);
 }
 
--- a/lib/steer/document.h
+++ b/lib/steer/document.h
@@ -6,6 +6,7 @@
 #define CS_STEER_DOCUMENT_H
 
 #include "model/model.h"
+#include "workspace/workspace.h"
 
 /* Whether a request may be sent again after it may have been executed. */
 enum cs_repeat {
@@ -42,6 +43,7 @@
 	unsigned target_ms; /* latency target; 0: none */
 	unsigned priority; /* 0 is the most urgent */
 	unsigned max_attempts; /* attempts per request; at least 1 */
+	bool is_public; /* needs no key of a workspace */
 	bool sticky; /* servers respond faster for objects that they handled recently */
 	struct cs_split_part parts[CS_SPLIT_PARTS_MAX];
 	unsigned n_parts;
@@ -64,6 +66,7 @@
 	unsigned n_routes, max_routes; /* places in use and allocated */
 	struct cs_service_def *services;
 	unsigned n_services, max_services;
+	struct cs_workspace_table *workspaces; /* NULL: requests need no key */
 	unsigned idle_timeout_ms; /* of client connections; 0: unknown */
 	/* Routes whose host or prefix cannot be read: any request without a route may be theirs. */
 	unsigned n_unmatchable;
--- a/lib/steer/members.c
+++ b/lib/steer/members.c
@@ -123,6 +123,7 @@
 	m->info.ready = r->ready;
 	m->info.leaving = r->leaving;
 	m->info.store_stable = r->store_stable;
+	m->info.keys_stale = r->keys_stale;
 	m->store_fresh = r->store_fresh;
 	m->store_revision = r->store_revision;
 	return true;
@@ -199,17 +200,32 @@
 	s->first_revision = revision;
 }
 
-uint64_t cs_steer_watched_revision(const struct cs_steer *s, uint64_t now_us)
+/* Member of this zone that watches the store and has its latest revision; NULL if none watches. */
+static const struct member *find_watcher(const struct cs_steer *s, uint64_t now_us)
 {
-	const struct member *m;
-	uint64_t revision = 0;
+	const struct member *m, *best = NULL;
 
 	TAILQ_FOREACH(m, &s->members, entry)
 		if (m->zone == s->zone && m->store_fresh && !m->info.leaving &&
 		    now_us - m->last_message_us < PEER_REPORT_MAX_AGE_US &&
-		    m->store_revision >= s->first_revision && m->store_revision > revision)
-			revision = m->store_revision;
-	return revision;
+		    m->store_revision >= s->first_revision &&
+		    (best == NULL || m->store_revision > best->store_revision))
+			best = m;
+	return best;
+}
+
+uint64_t cs_steer_watched_revision(const struct cs_steer *s, uint64_t now_us)
+{
+	const struct member *m = find_watcher(s, now_us);
+
+	return m != NULL ? m->store_revision : 0;
+}
+
+const char *cs_steer_store_watcher(const struct cs_steer *s, uint64_t now_us)
+{
+	const struct member *m = find_watcher(s, now_us);
+
+	return m != NULL ? m->info.name : NULL;
 }
 
 bool cs_steer_store_stable(const struct cs_steer *s, uint64_t now_us)
@@ -223,6 +239,11 @@
 	return false;
 }
 
+unsigned cs_steer_fleet_size(const struct cs_steer *s)
+{
+	return s->n_members + 1;
+}
+
 unsigned cs_steer_count_members(const struct cs_steer *s, uint64_t now_us)
 {
 	const struct member *m;
@@ -244,7 +265,7 @@
 
 static bool is_offered(const struct cs_steer *s, const struct member *m, uint64_t now_us)
 {
-	return m->info.ready && !m->info.leaving && m->last_seen_us > 0 &&
+	return m->info.ready && !m->info.leaving && !m->info.keys_stale && m->last_seen_us > 0 &&
 	       now_us - m->last_seen_us < s->opts.bounds.member_silence_ms * CS_US_PER_MS;
 }
 
@@ -258,7 +279,8 @@
 	struct member *m;
 
 	for (d = 0; d < 3 && n_out < directory_min[d]; d++) {
-		if (self->ready && !self->leaving && distance(s, &own, z, region) == d && n_out < n)
+		if (self->ready && !self->leaving && !self->keys_stale &&
+		    distance(s, &own, z, region) == d && n_out < n)
 			cs_copy(out[n_out++], CS_ADDR_MAX + 8, self->front);
 		TAILQ_FOREACH(m, &s->members, entry)
 			if (n_out < n && is_offered(s, m, now_us) && distance(s, m, z, region) == d)
--- a/lib/steer/select.c
+++ b/lib/steer/select.c
@@ -256,6 +256,8 @@
 	server_limit_count(b);
 	if (req->n_sent > 0)
 		window_add(&b->service->repeats, now_us);
+	else if (req->workspace != 0)
+		cs_fair_sent(b->service->fair, req->workspace, now_us);
 	req->n_sent++;
 	if (req->n_tried < CS_STEER_TRIED_MAX)
 		req->tried[req->n_tried] = b->id_hash;
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -160,6 +160,7 @@
 	double service_time_us; /* smoothed */
 	float last_reported; /* demand in this instance's last report */
 	struct counter_window requests, repeats; /* repeats: retries and hedges */
+	struct cs_fair *fair; /* among workspaces; NULL: none sent requests */
 	struct object_counter objects; /* distinct objects of this instance's requests */
 };
 
--- a/lib/steer/steer.c
+++ b/lib/steer/steer.c
@@ -8,6 +8,8 @@
 #define INITIAL_SERVICE_TIME_US (400 * CS_US_PER_MS)
 /* Deadline of a request if neither the client nor the route sets one. */
 #define DEFAULT_DEADLINE_US (10 * CS_US_PER_S)
+/* Above the priorities of all routes. */
+#define ROUTE_PRIORITIES 1001
 
 static const char *const reason_names[] = {"no_server", "overload", "deadline", "budget",
 					   "attempts"};
@@ -96,6 +98,7 @@
 			free(b);
 		}
 		TAILQ_REMOVE(&s->services, svc, entry);
+		cs_fair_destroy(svc->fair);
 		free(svc);
 	}
 	members_free(s);
@@ -241,18 +244,27 @@
 	return best;
 }
 
+/* Bit mask of the region of that name; 0 if this deployment does not have it. */
+static uint64_t region_mask(const struct cs_steer *s, const char *name)
+{
+	unsigned k;
+
+	for (k = 0; k < s->n_regions; k++)
+		if (strcmp(name, s->regions[k]) == 0)
+			return 1ULL << k;
+	return 0;
+}
+
 /* Bit mask of the regions that may serve the route; all if it has no home regions. */
 static uint64_t home_mask(const struct cs_steer *s, const struct cs_route *r)
 {
 	uint64_t mask = 0;
-	unsigned i, k;
+	unsigned i;
 
 	if (r->n_home_regions == 0)
 		return UINT64_MAX;
 	for (i = 0; i < r->n_home_regions; i++)
-		for (k = 0; k < s->n_regions; k++)
-			if (strcmp(r->home_regions[i], s->regions[k]) == 0)
-				mask |= 1ULL << k;
+		mask |= region_mask(s, r->home_regions[i]);
 	return mask;
 }
 
@@ -296,6 +308,23 @@
 		objects_add(&svc->objects, req->object ^ cs_hash_str(route->name, 0), now_us);
 }
 
+void cs_steer_request_set_workspace(struct cs_steer *s, struct cs_steer_request *req,
+				    const struct cs_workspace *ws, uint64_t now_us)
+{
+	struct cs_steer_service *svc = steer_service(s, req->service);
+	uint64_t mask = ws->n_homes > 0 ? 0 : UINT64_MAX;
+	unsigned i;
+
+	for (i = 0; i < ws->n_homes; i++)
+		mask |= region_mask(s, ws->homes[i]);
+	req->home_mask &= mask;
+	req->priority += ws->priority * ROUTE_PRIORITIES;
+	req->workspace = ws->id;
+	if (svc->fair == NULL)
+		svc->fair = cs_fair_create();
+	cs_fair_arrived(svc->fair, ws->id, now_us);
+}
+
 void cs_steer_tick(struct cs_steer *s, uint64_t now_us)
 {
 	uint64_t elapsed = now_us - s->tick_us;
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -121,6 +121,7 @@
 	unsigned route; /* index in the document */
 	uint64_t version; /* version of that document */
 	uint64_t home_mask; /* bit mask of the regions that may serve it */
+	uint64_t workspace; /* id; 0: none */
 	uint32_t tried[CS_STEER_TRIED_MAX]; /* id_hash of each server that it was sent to */
 	unsigned n_tried;
 	unsigned n_sent; /* attempts that may have reached a server */
@@ -164,6 +165,12 @@
  */
 void cs_steer_request_init(struct cs_steer *s, struct cs_steer_request *req,
 			   const struct cs_route *route, unsigned budget_ms, uint64_t now_us);
+/*
+ * States the workspace of a request that was just initialised: its home regions bind beside those
+ * of the route, and its priority goes before the route's.
+ */
+void cs_steer_request_set_workspace(struct cs_steer *s, struct cs_steer_request *req,
+				    const struct cs_workspace *ws, uint64_t now_us);
 /* Decides on a request that is not queued. On WAIT the request joins the queue of its service. */
 void cs_steer_decide(struct cs_steer *s, struct cs_steer_request *req, uint64_t now_us,
 		     struct cs_steer_decision *out);
@@ -310,6 +317,7 @@
 	bool ready;
 	bool leaving;
 	bool store_stable; /* all of its calls to the store succeeded for several seconds */
+	bool keys_stale; /* it refuses requests with a key: the key may have been withdrawn */
 };
 
 /* The process of a server that stated that it leaves. */
@@ -370,6 +378,7 @@
 	bool leaving;
 	bool store_stable;
 	bool store_fresh; /* it watches the store, which responded recently */
+	bool keys_stale; /* as in cs_steer_member */
 	bool is_digest;
 	uint64_t store_revision; /* latest revision that it has */
 	unsigned root_index; /* digest: index of the sending root and of its distribution tree */
@@ -450,8 +459,20 @@
 bool cs_steer_has_member(const struct cs_steer *s, const char *name);
 /* Highest store revision that a watching instance of this zone has; 0 if none watches. */
 uint64_t cs_steer_watched_revision(const struct cs_steer *s, uint64_t now_us);
+/* Name of such an instance, valid until the set of members changes; NULL if there is none. */
+const char *cs_steer_store_watcher(const struct cs_steer *s, uint64_t now_us);
 /* True if another instance reported recently that its store contact is stable. */
 bool cs_steer_store_stable(const struct cs_steer *s, uint64_t now_us);
+/* Number of instances that are known, alive or not, this one included. */
+unsigned cs_steer_fleet_size(const struct cs_steer *s);
+/*
+ * The instances that keep tokens for the quotas of workspaces, in the view of this one: those of
+ * its zone, and of other zones that have any, the nearest first. Returns the number of other zones;
+ * the names are valid until the set of members changes.
+ */
+unsigned cs_steer_quota_keepers(const struct cs_steer *s, uint64_t now_us,
+				struct cs_quota_zone *own, struct cs_quota_zone others[],
+				unsigned max);
 /* Number of live instances, this one included. */
 unsigned cs_steer_count_members(const struct cs_steer *s, uint64_t now_us);
 
--- /dev/null
+++ b/lib/workspace/quota-keeper.c
@@ -0,0 +1,231 @@
+/*
+ * The keeper's side of quotas: loans of rights and grants of tokens. A loan ends at a time that is
+ * certain to be no later than the lender's own, whenever its message arrived: it counts from the
+ * keeper's clock in the reply that the lender repeats, plus the time for which the lender held it.
+ */
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "workspace/quota-int.h"
+
+/* A loan ends earlier here than at its lender by this, for clocks that run at different speeds. */
+#define LOAN_MARGIN_US (20 * CS_US_PER_MS)
+/*
+ * Rights are divided among more instances than are known, by this factor: an instance that is cut
+ * off or slow may not know of the newest ones, which count themselves.
+ */
+#define FLEET_MARGIN (1 + 1.0 / 32)
+/* Workspaces that nobody asked for hold what accrued in this time when rights are returned. */
+#define UNTOUCHED_KEEP_S 0.2
+/* room_ms of a keeper without rights. */
+#define NO_RIGHTS_ROOM_MS 200
+#define LOANS_MAX 512
+
+static bool loan_covers(const struct loan *l, unsigned slot)
+{
+	return l->slots >> slot & 1;
+}
+
+/* Adds the tokens that the rights of a workspace accrued since they were counted last. */
+static void entry_accrue(const struct cs_quota *q, struct entry *e, const struct cs_workspace *ws)
+{
+	unsigned slot = quota_slot(e->id);
+	struct pace p = quota_pace(q, ws);
+
+	e->tokens += p.per_s * (q->integral[slot] - e->seen);
+	e->seen = q->integral[slot];
+	e->tokens = fmin(e->tokens, p.per_s * q->held[slot] * p.keep_s);
+}
+
+/* After rights were returned no workspace keeps more tokens than those that are left allow. */
+static void trim(struct cs_quota *q)
+{
+	const struct cs_workspace *ws;
+	struct entry *e;
+	double most;
+	unsigned i;
+
+	TAILQ_FOREACH(e, &q->list, list) {
+		ws = q->table != NULL ? cs_workspace_by_id(q->table, e->id) : NULL;
+		if (ws != NULL)
+			entry_accrue(q, e, ws);
+		else
+			e->tokens = 0;
+	}
+	for (i = 0; i < CS_QUOTA_SLOTS; i++) {
+		most = q->held[i] * UNTOUCHED_KEEP_S;
+		q->base[i] = fmax(q->base[i], q->integral[i] - most);
+	}
+}
+
+static void loan_free(struct cs_quota *q, struct loan *l)
+{
+	TAILQ_REMOVE(&q->loans, l, list);
+	q->counts.loans--;
+	free(l);
+}
+
+void keeper_advance(struct cs_quota *q, uint64_t now_us)
+{
+	struct loan *l, *next;
+	bool returned = false;
+	uint64_t end;
+	unsigned i;
+
+	if (now_us <= q->advanced_us)
+		return;
+	memset(q->held, 0, sizeof(q->held));
+	TAILQ_FOREACH_SAFE(l, &q->loans, list, next) {
+		end = l->until_us < now_us ? l->until_us : now_us;
+		for (i = 0; i < CS_QUOTA_SLOTS; i++) {
+			if (!loan_covers(l, i))
+				continue;
+			if (end > q->advanced_us)
+				q->integral[i] +=
+					l->fraction * (double)(end - q->advanced_us) / CS_US_PER_S;
+			if (l->until_us > now_us)
+				q->held[i] += l->fraction;
+		}
+		if (l->until_us > now_us)
+			continue;
+		returned = true;
+		loan_free(q, l);
+	}
+	q->advanced_us = now_us;
+	if (returned)
+		trim(q);
+}
+
+void keeper_free(struct cs_quota *q)
+{
+	struct loan *l;
+
+	while ((l = TAILQ_FIRST(&q->loans)) != NULL)
+		loan_free(q, l);
+}
+
+void keeper_forget(struct cs_quota *q, const struct entry *e)
+{
+	const struct cs_workspace *ws = q->table != NULL ? cs_workspace_by_id(q->table, e->id)
+							 : NULL;
+	unsigned slot = quota_slot(e->id);
+	double held_s = ws != NULL && ws->rate_per_s > 0 ? e->tokens / quota_pace(q, ws).per_s : 0;
+
+	/* What has accrued since the tokens were counted is accrued again from there. */
+	q->base[slot] = fmax(q->base[slot], e->seen - held_s);
+}
+
+static struct loan *find_loan(const struct cs_quota *q, const struct cs_quota_ask *ask)
+{
+	struct loan *l;
+
+	TAILQ_FOREACH(l, &q->loans, list)
+		if (l->boot == ask->boot && strcmp(l->name, ask->from) == 0)
+			return l;
+	return NULL;
+}
+
+/* Ends a loan now. */
+static void loan_return(struct cs_quota *q, struct loan *l)
+{
+	unsigned i;
+
+	for (i = 0; i < CS_QUOTA_SLOTS; i++)
+		if (loan_covers(l, i))
+			q->held[i] = fmax(0, q->held[i] - l->fraction);
+	loan_free(q, l);
+	trim(q);
+}
+
+static void loan_add(struct cs_quota *q, const struct cs_quota_ask *ask, uint64_t until_us)
+{
+	struct loan *l;
+	unsigned i;
+
+	if (q->counts.loans >= LOANS_MAX)
+		return;
+	l = cs_xcalloc(1, sizeof(*l));
+	cs_copy(l->name, sizeof(l->name), ask->from);
+	l->boot = ask->boot;
+	l->seq = ask->seq;
+	l->fraction = 1 / (ask->fleet * FLEET_MARGIN);
+	l->slots = ask->lent_slots;
+	l->until_us = until_us;
+	TAILQ_INSERT_TAIL(&q->loans, l, list);
+	q->counts.loans++;
+	for (i = 0; i < CS_QUOTA_SLOTS; i++)
+		if (loan_covers(l, i))
+			q->held[i] += l->fraction;
+}
+
+/* Applies the loan in a question; the sender's latest word counts. */
+static void handle_loan(struct cs_quota *q, const struct cs_quota_ask *ask, uint64_t now_us)
+{
+	struct loan *l = find_loan(q, ask);
+	uint64_t until = 0;
+	bool same;
+
+	if (l != NULL && ask->seq <= l->seq)
+		return;
+	/* Without this process's own time the age of the message is not known. */
+	if (ask->lent_slots != 0 && ask->fleet > 0 && ask->echo_us > 0 && ask->echo_boot == q->boot)
+		until = ask->echo_us + ask->held_us + CS_QUOTA_LOAN_US - LOAN_MARGIN_US;
+	if (until <= now_us || until > now_us + CS_QUOTA_LOAN_US) {
+		if (l != NULL)
+			loan_return(q, l);
+		return;
+	}
+	same = l != NULL && l->slots == ask->lent_slots &&
+	       fabs(l->fraction - 1 / (ask->fleet * FLEET_MARGIN)) < 1e-12;
+	if (same) {
+		l->seq = ask->seq;
+		if (until > l->until_us)
+			l->until_us = until;
+		return;
+	}
+	if (l != NULL)
+		loan_return(q, l);
+	loan_add(q, ask, until);
+}
+
+static void grant(struct cs_quota *q, const struct cs_quota_row *want, struct cs_quota_row *out,
+		  uint64_t now_us)
+{
+	const struct cs_workspace *ws = q->table != NULL ? cs_workspace_by_id(q->table, want->id)
+							 : NULL;
+	double per_s, missing;
+	struct entry *e;
+
+	*out = (struct cs_quota_row){.id = want->id, .room_ms = NO_RIGHTS_ROOM_MS};
+	if (ws == NULL || ws->rate_per_s <= 0)
+		return;
+	e = quota_entry(q, want->id, now_us);
+	entry_accrue(q, e, ws);
+	out->tokens = (unsigned)fmin(floor(e->tokens), want->tokens);
+	e->tokens -= out->tokens;
+	q->counts.granted += out->tokens;
+	per_s = quota_pace(q, ws).per_s * q->held[quota_slot(e->id)];
+	missing = 1 - e->tokens;
+	if (per_s > 0)
+		out->room_ms = missing > 0 ? (unsigned)fmin(missing / per_s * 1000, 60000) : 0;
+}
+
+void cs_quota_handle_ask(struct cs_quota *q, const struct cs_quota_ask *ask, uint64_t now_us,
+			 struct cs_quota_reply *out)
+{
+	unsigned i;
+
+	keeper_advance(q, now_us);
+	handle_loan(q, ask, now_us);
+	*out = (struct cs_quota_reply){.boot = q->boot,
+				       .to_boot = ask->boot,
+				       .seq = ask->seq,
+				       .asked_us = ask->sent_us,
+				       .now_us = now_us,
+				       .n_rows = ask->n_rows};
+	cs_copy(out->from, sizeof(out->from), q->instance);
+	cs_copy(out->to, sizeof(out->to), ask->from);
+	for (i = 0; i < ask->n_rows; i++)
+		grant(q, &ask->rows[i], &out->rows[i], now_us);
+}
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -45,7 +45,8 @@
 
 static void on_ready(struct cs_http_req *req, void *arg)
 {
-	bool ready = node_ready(arg);
+	struct node *n = arg;
+	bool ready = node_ready(n) && !workspaces_keys_stale(n);
 
 	if (strcmp(cs_http_path(req), PLATFORM_PATH_READY) != 0)
 		reply_text(req, 404, "not found\n");
@@ -85,6 +86,8 @@
 {
 	struct node *n = arg;
 	struct node_stats *s = &n->stats;
+	const struct cs_document *doc = cs_steer_current_document(n->steer);
+	struct cs_quota_counts quota;
 	char *text;
 
 	*s->ready = node_ready(n);
@@ -95,6 +98,15 @@
 	*s->limit_part = (int64_t)cs_steer_limit_parts(n->steer);
 	*s->in_flight = cs_ingress_calls(n->ingress);
 	*s->store_unreachable = store_sync_is_unreachable(n->store_sync);
+	workspaces_counts(n, &quota);
+	*s->quota_loans = quota.loans;
+	*s->quota_waiting = quota.waiting;
+	*s->keys_stale = workspaces_keys_stale(n);
+	if (doc != NULL && doc->workspaces != NULL) {
+		*s->workspaces = cs_workspace_count(doc->workspaces);
+		*s->keys = cs_workspace_count_keys(doc->workspaces);
+		*s->key_age_ms = (int64_t)workspaces_key_age_ms(n);
+	}
 	text = cs_metrics_text(s->metrics);
 	cs_http_reply(req, 200, "text/plain; version=0.0.4", text, strlen(text));
 	free(text);
--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -267,5 +267,6 @@
 {
 	struct attempt *a = arg;
 
-	return cs_steer_may_send(a->req->node->steer, a->backend, a->started_us, cs_mono_us());
+	return workspaces_check(a->req) &&
+	       cs_steer_may_send(a->req->node->steer, a->backend, a->started_us, cs_mono_us());
 }
--- a/src/node/document-load.c
+++ b/src/node/document-load.c
@@ -34,6 +34,7 @@
 	struct cs_timer slice_timer;
 	uint64_t slice_end_us; /* when the last slice was read */
 	uint64_t handled_revision; /* of the last document that was read or refused */
+	bool refused; /* that document was */
 	uint64_t wanted_revision; /* the store has a document of this revision or a later one */
 	struct platform_call *fetch;
 	struct cs_timer fetch_timer;
@@ -85,6 +86,12 @@
 	return dl->reader != NULL ? dl->reading.revision : dl->handled_revision;
 }
 
+bool document_load_is_current(const struct document_load *dl)
+{
+	return dl->reader == NULL && dl->next.text == NULL && !dl->refused &&
+	       dl->wanted_revision <= dl->handled_revision;
+}
+
 void document_load_start(struct document_load *dl, const struct platform_item *it)
 {
 	/* Full reads return a document again that is known. */
@@ -115,6 +122,7 @@
 
 	if (!cs_steer_set_document(n->steer, doc, now))
 		return;
+	workspaces_document_changed(n);
 	*n->stats.document = (int64_t)doc->version;
 	*n->stats.document_problems = doc->n_problems;
 	if (doc->idle_timeout_ms > 0)
@@ -153,14 +161,17 @@
 		return;
 	case PLATFORM_READING_DONE:
 		document_apply(dl, doc);
+		dl->refused = false;
 		break;
 	case PLATFORM_READING_INVALID:
 		document_refused(dl, &msg);
+		dl->refused = true;
 		break;
 	}
 	platform_document_reader_destroy(dl->reader);
 	dl->reader = NULL;
 	dl->handled_revision = dl->reading.revision;
+	store_sync_confirm_document(dl->node->store_sync);
 	read_next(dl);
 }
 
--- a/src/node/frontend.c
+++ b/src/node/frontend.c
@@ -18,8 +18,9 @@
 /* Retry-After for a route that this version cannot read; another instance may be able to. */
 #define UNREADABLE_RETRY_AFTER_MS 1000
 /* Headers added to those of the client, and their size in bytes. */
-#define ADDED_HEADERS (1 + CS_HEADER_LIST_END_LINES)
-#define ADDED_HEADER_BYTES (16 + CS_HEADER_LIST_END_BYTES)
+#define ADDED_HEADERS (2 + CS_HEADER_LIST_END_LINES)
+#define ADDED_HEADER_BYTES                                                                         \
+	(16 + sizeof(PLATFORM_H_WORKSPACE) + CS_WORKSPACE_NAME_MAX + 2 + CS_HEADER_LIST_END_BYTES)
 
 static void on_begin(struct cs_call *call, void *arg);
 static size_t on_body(struct cs_call *call, const char *data, size_t n, void *arg);
@@ -63,6 +64,7 @@
 	size_t bytes;
 	unsigned n;
 	unsigned hosts, deadlines, ids;
+	struct key_scan key;
 	const char *connection;
 	bool malformed; /* a name or value that must not be forwarded */
 };
@@ -78,6 +80,7 @@
 	s->hosts += strcasecmp(name, "Host") == 0;
 	s->deadlines += strcasecmp(name, PLATFORM_H_DEADLINE) == 0;
 	s->ids += strcasecmp(name, PLATFORM_H_REQUEST_ID) == 0;
+	s->key.keys += strcasecmp(name, PLATFORM_H_KEY) == 0;
 	if (!check_name(name) || !check_value(value))
 		s->malformed = true;
 	return true;
@@ -92,6 +95,7 @@
 /* State of the second pass, which copies the headers to forward. */
 struct header_copy {
 	const char *connection;
+	bool drop_workspace; /* headers of workspaces are this instance's alone */
 	struct cs_header_list lines;
 };
 
@@ -102,22 +106,32 @@
 	       strcasecmp(name, PLATFORM_H_EXPECTED_SERVER) == 0;
 }
 
+static bool is_of_workspace(const char *name)
+{
+	return strcasecmp(name, PLATFORM_H_KEY) == 0 || strcasecmp(name, PLATFORM_H_WORKSPACE) == 0;
+}
+
 static bool copy_request_header(const char *name, const char *value, void *arg)
 {
 	struct header_copy *hc = arg;
 
-	if (head_is_forwarded(name, hc->connection) && !is_set_per_attempt(name))
+	if (head_is_forwarded(name, hc->connection) && !is_set_per_attempt(name) &&
+	    !(hc->drop_workspace && is_of_workspace(name)))
 		cs_header_list_add(&hc->lines, name, value);
 	return true;
 }
 
 static void build_request_headers(struct request *req, const struct header_scan *s)
 {
-	struct header_copy hc = {.connection = s->connection};
+	const struct cs_document *doc = cs_steer_current_document(req->node->steer);
+	struct header_copy hc = {.connection = s->connection,
+				 .drop_workspace = doc->workspaces != NULL};
 
 	cs_header_list_begin(&hc.lines, s->n + ADDED_HEADERS, s->bytes + ADDED_HEADER_BYTES);
 	cs_call_headers(req->call, copy_request_header, &hc);
 	cs_header_list_suppress(&hc.lines, "Expect");
+	if (*req->workspace_name != '\0')
+		cs_header_list_add(&hc.lines, PLATFORM_H_WORKSPACE, req->workspace_name);
 	req->headers = cs_header_list_finish(&hc.lines);
 }
 
@@ -150,53 +164,63 @@
 	return *end == '\0';
 }
 
-/* Logs a request that is rejected before routing and sends the error response. */
-static void reject(struct request *req, unsigned status, const char *reason,
-		   unsigned retry_after_ms)
+void frontend_reject(struct request *req, unsigned status, const char *reason,
+		     unsigned retry_after_ms)
 {
-	const struct cs_document *doc = cs_steer_current_document(req->node->steer);
+	struct node *n = req->node;
+	const struct cs_document *doc = cs_steer_current_document(n->steer);
 
-	cs_event(req->node->events, CS_EVENT_IMPORTANT, "request.rejected",
-		 "id=%s status=%u reason=%s document=%llu", req->id, status, reason,
-		 (unsigned long long)(doc != NULL ? doc->version : 0));
+	if (status == 401)
+		(*n->stats.bad_key)++;
+	workspaces_release(req, true);
+	cs_event(n->events, CS_EVENT_IMPORTANT, "request.rejected",
+		 "id=%s status=%u reason=%s document=%llu workspace=%s retry_after_ms=%u", req->id,
+		 status, reason, (unsigned long long)(doc != NULL ? doc->version : 0),
+		 *req->workspace_name != '\0' ? req->workspace_name : "-", retry_after_ms);
 	frontend_reply_error(req, status, reason, retry_after_ms);
 }
 
 /* Selects the route. If there is none, rejects the request and returns false. */
-static bool select_route(struct request *req, unsigned budget_ms)
+static bool select_route(struct request *req, const struct header_scan *scan, unsigned budget_ms)
 {
 	struct node *n = req->node;
 	const struct cs_document *doc = cs_steer_current_document(n->steer);
 	const char *host = cs_call_header(req->call, "Host");
 	const char *object = cs_call_cookie(req->call, PLATFORM_COOKIE_AFFINITY);
+	const struct cs_workspace *ws;
 	const struct cs_route *r;
 	uint64_t now = cs_mono_us();
 
 	if (doc == NULL || !store_sync_is_loaded(n->store_sync)) {
 		(*n->stats.not_ready)++;
-		reject(req, 503, "not_ready", NOT_READY_RETRY_AFTER_MS);
+		frontend_reject(req, 503, "not_ready", NOT_READY_RETRY_AFTER_MS);
 		return false;
 	}
 	r = host ? cs_document_route(doc, host, cs_call_target(req->call)) : NULL;
 	if (r != NULL ? r->unreadable : doc->n_unmatchable > 0) {
 		(*n->stats.unreadable_route)++;
-		reject(req, 503, "route_unreadable", UNREADABLE_RETRY_AFTER_MS);
+		frontend_reject(req, 503, "route_unreadable", UNREADABLE_RETRY_AFTER_MS);
 		return false;
 	}
 	if (r == NULL) {
 		(*n->stats.no_route)++;
-		reject(req, 404, "no_route", 0);
+		frontend_reject(req, 404, "no_route", 0);
 		return false;
 	}
 	cs_copy(req->route, sizeof(req->route), r->name);
+	if (!workspaces_identify(req, r, &scan->key, &ws) ||
+	    (ws != NULL && !workspaces_take_token(req, ws, budget_ms)))
+		return false;
 	req->repeat = r->repeat;
 	req->steer_state.object = object != NULL ? cs_hash_str(object, 0) : 0;
 	req->steer_state.arg = req;
 	cs_steer_request_init(n->steer, &req->steer_state, r, budget_ms, now);
+	if (ws != NULL)
+		cs_steer_request_set_workspace(n->steer, &req->steer_state, ws, now);
 	stop_limit_request(n, req);
 	if (!stop_may_send(n, req)) {
 		(*n->stats.refused)++;
-		reject(req, 503, "stopping", stop_retry_after_ms(n));
+		frontend_reject(req, 503, "stopping", stop_retry_after_ms(n));
 		return false;
 	}
 	return true;
@@ -220,8 +244,8 @@
 	}
 	if (cs_call_fault(call) != CS_CALL_VALID) {
 		(*n->stats.malformed)++;
-		reject(req, cs_call_fault_status(cs_call_fault(call)),
-		       cs_call_fault_name(cs_call_fault(call)), 0);
+		frontend_reject(req, cs_call_fault_status(cs_call_fault(call)),
+				cs_call_fault_name(cs_call_fault(call)), 0);
 		return;
 	}
 	cs_call_headers(call, scan_request_header, &s);
@@ -229,12 +253,12 @@
 	    !parse_deadline_header(call, &budget_ms) || !check_target(cs_call_target(call)) ||
 	    !check_method(cs_call_method(call))) {
 		cs_call_close_after_response(call);
-		reject(req, 400, "bad_request", 0);
+		frontend_reject(req, 400, "bad_request", 0);
 		return;
 	}
 	if (budget_ms > 0)
 		cs_call_set_deadline(call, cs_mono_us() + budget_ms * CS_US_PER_MS);
-	if (!select_route(req, budget_ms))
+	if (!select_route(req, &s, budget_ms))
 		return;
 	build_request_headers(req, &s);
 	request_start(req);
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -207,6 +207,27 @@
 		(*g->node->stats.reports_out)++;
 }
 
+/* Sends the message in the buffer to an instance by name. */
+static void send_buffer(struct node_gossip *g, const char *name)
+{
+	struct peer *p = find_peer(g, name);
+
+	if (p != NULL)
+		send_to(g, p, g->buf.data, g->buf.size);
+}
+
+void gossip_send_ask(struct node_gossip *g, const struct cs_quota_ask *ask)
+{
+	wire_pack_ask(&g->buf, ask);
+	send_buffer(g, ask->to);
+}
+
+void gossip_send_reply(struct node_gossip *g, const struct cs_quota_reply *reply)
+{
+	wire_pack_reply(&g->buf, reply);
+	send_buffer(g, reply->to);
+}
+
 static void send_to_peers(struct node_gossip *g, const char *const names[], unsigned n,
 			  const char *data, size_t len)
 {
@@ -245,6 +266,7 @@
 	r->ready = self.ready;
 	r->leaving = self.leaving;
 	r->store_stable = self.store_stable;
+	r->keys_stale = self.keys_stale;
 	r->store_fresh = store_sync_is_fresh(g->node->store_sync);
 	r->store_revision = store_sync_revision(g->node->store_sync);
 }
@@ -432,6 +454,12 @@
 	case WIRE_ENTRIES:
 		handle_changes(g, &m->u.changes, data, len);
 		break;
+	case WIRE_QUOTA_ASK:
+		workspaces_handle_ask(n, &m->u.ask);
+		break;
+	case WIRE_QUOTA_REPLY:
+		workspaces_handle_reply(n, &m->u.reply);
+		break;
 	}
 }
 
--- a/src/node/main.c
+++ b/src/node/main.c
@@ -59,6 +59,7 @@
 	out->ready = node_ready(n);
 	out->leaving = n->stop != STOP_NONE;
 	out->store_stable = store_sync_is_stable(n->store_sync);
+	out->keys_stale = workspaces_keys_stale(n);
 }
 
 static void on_tick(struct cs_timer *t, void *arg)
@@ -116,6 +117,7 @@
 	n->control_curl = cs_curl_create(n->loop, n->timers);
 	cs_curl_set_priority(n->control_curl, NEWS_PRIORITY);
 	n->store = platform_store_create(n->control_curl, &n->settings.store);
+	n->workspaces = workspaces_create(n);
 	n->document_load = document_load_create(n);
 	n->store_sync = store_sync_create(n);
 	n->gossip = gossip_create(n, msg);
@@ -137,6 +139,7 @@
 {
 	admin_stop(n);
 	cs_ingress_destroy(n->ingress);
+	workspaces_destroy(n->workspaces);
 	registration_destroy(n->registration);
 	store_sync_destroy(n->store_sync);
 	document_load_destroy(n->document_load);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,8 +3,9 @@
  * of the users' platform. frontend.c accepts client requests, request.c runs the state machine of
  * each request, and attempt.c sends requests to backend servers. store-sync.c mirrors the store,
  * document-load.c puts its document in force,
- * registration.c keeps this instance's entry in it, and gossip.c exchanges reports with the other
- * instances. lib/steer makes the routing decisions.
+ * registration.c keeps this instance's entry in it, gossip.c exchanges reports with the other
+ * instances, and workspaces.c checks keys and quotas. lib/steer and lib/workspace make the
+ * decisions.
  */
 #ifndef NODE_NODE_H
 #define NODE_NODE_H
@@ -56,11 +57,19 @@
 
 enum request_stage {
 	STAGE_BODY, /* receiving the body */
+	STAGE_TOKEN, /* waiting for a token of its workspace's quota */
 	STAGE_WAITING, /* queued for a server slot */
 	STAGE_FORWARDED, /* at least one attempt was started */
 	STAGE_RESPONDING /* the response is chosen, or the client disconnected */
 };
 
+/* Token of a workspace's quota. */
+enum token_state {
+	TOKEN_NONE, /* none is needed, or it was spent */
+	TOKEN_PENDING, /* the request waits for one */
+	TOKEN_HELD /* taken, and not spent while nothing may have run */
+};
+
 /* One client request, from its header section to the end of its response. */
 struct request {
 	TAILQ_ENTRY(request) entry;
@@ -71,6 +80,11 @@
 	const char *full_id; /* as the client sent it, in the call's headers; "" if there is none */
 	char id[REQUEST_ID_SIZE]; /* its beginning, for logs */
 	char route[CS_NAME_MAX];
+	char workspace_name[CS_WORKSPACE_NAME_MAX]; /* "" if it has none */
+	uint64_t key_version; /* document by which its key was last checked */
+	enum token_state token;
+	uint64_t token_until_us, token_since_us; /* by cs_boottime_us */
+	TAILQ_ENTRY(request) token_entry;
 	enum cs_repeat repeat;
 	struct curl_slist *headers; /* headers for servers, in one allocation */
 	bool has_body, body_ended, body_streaming;
@@ -89,6 +103,7 @@
 	struct cs_metrics *metrics;
 	uint64_t *requests, *ok, *late, *failed, *refused, *disconnected, *closed_unread;
 	uint64_t *no_route, *not_ready, *malformed, *unreadable_route, *refused_entries;
+	uint64_t *bad_key, *over_quota;
 	uint64_t *cut_responses, *cut_requests, *cut_connections;
 	uint64_t *sends, *leaving_sends, *limited_sends, *repeats, *hedges, *sheds, *misdirected,
 		*unsent, *withheld, *broken, *cancelled;
@@ -96,6 +111,7 @@
 	struct cs_hist *latency, *wait, *send_delay, *turn;
 	int64_t *ready, *members, *servers, *limited_servers, *cold_servers, *limit_part, *document,
 		*document_problems, *in_flight, *store_unreachable;
+	int64_t *workspaces, *keys, *key_age_ms, *keys_stale, *quota_loans, *quota_waiting;
 };
 
 enum stop_stage {
@@ -123,6 +139,7 @@
 	struct document_load *document_load;
 	struct registration *registration;
 	struct node_gossip *gossip;
+	struct workspaces *workspaces;
 	struct node_stats stats;
 	TAILQ_HEAD(, request) requests;
 	struct cs_timer tick_timer, dispatch_timer, settings_timer;
@@ -143,6 +160,9 @@
 /* Completes a request with an error response of this process. */
 void frontend_reply_error(struct request *req, unsigned status, const char *error,
 			  unsigned retry_after_ms);
+/* Logs a request that is rejected before routing and sends the error response. */
+void frontend_reject(struct request *req, unsigned status, const char *reason,
+		     unsigned retry_after_ms);
 /* Forwards the response of an attempt, either from its buffer or as a stream. */
 void frontend_forward_response(struct request *req, struct attempt *a);
 
@@ -158,6 +178,14 @@
 void request_disconnected(struct request *req, enum cs_call_end end);
 /* Called when the transfer of an attempt has changed state or received data. */
 void request_progress(struct request *req, struct attempt *a);
+/* The request got a token of its workspace's quota. */
+void request_token_decided(struct request *req);
+/*
+ * Completes a request with an error response. A status that promises that it has not run becomes
+ * 502 if it may have run.
+ */
+void request_fail(struct request *req, unsigned status, const char *reason,
+		  unsigned retry_after_ms);
 /* Decides again on the waiting requests that may now be sent or refused. */
 void requests_dispatch(struct node *n);
 /* Limits the requests in progress to the end of a stopping process; refuses those not to be sent. */
@@ -208,6 +236,8 @@
 /* Applies changes relayed by an instance of the zone that watches the store. */
 struct wire_changes;
 void store_sync_apply_relayed(struct store_sync *ss, const struct wire_changes *c);
+/* Confirms the document in force if the last call showed that it is the newest. */
+void store_sync_confirm_document(struct store_sync *ss);
 /* True if all calls to the store have succeeded for several seconds. */
 bool store_sync_is_stable(const struct store_sync *ss);
 /* True while calls to the store fail. */
@@ -218,6 +248,8 @@
 void document_load_destroy(struct document_load *dl);
 /* Begins to read a document unless this revision is known; the item need not outlive the call. */
 void document_load_start(struct document_load *dl, const struct platform_item *it);
+/* True if the document in force is the newest that this instance knows of. */
+bool document_load_is_current(const struct document_load *dl);
 /* Reads the document from the store, where it has this revision or a later one. */
 void document_load_fetch(struct document_load *dl, uint64_t revision);
 
@@ -249,6 +281,40 @@
 /* Sends a report immediately to the instances that are near, and to others up to a limit. */
 void gossip_send_urgent(struct node_gossip *g);
 
+/* Sends a message on quotas to the instance that it is for, unless that is unknown. */
+void gossip_send_ask(struct node_gossip *g, const struct cs_quota_ask *ask);
+void gossip_send_reply(struct node_gossip *g, const struct cs_quota_reply *reply);
+
+/* workspaces.c: keys, their age, quotas. */
+struct workspaces *workspaces_create(struct node *n);
+void workspaces_destroy(struct workspaces *w);
+/* Another document is in force; the former one is destroyed. */
+void workspaces_document_changed(struct node *n);
+void workspaces_settings_changed(struct node *n);
+/* The document in force was the newest at that time, by cs_boottime_us. */
+void workspaces_confirm(struct node *n, uint64_t confirmed_us);
+/* True if requests with a key are refused, as the key may have been withdrawn. */
+bool workspaces_keys_stale(const struct node *n);
+uint64_t workspaces_key_age_ms(const struct node *n);
+void workspaces_counts(const struct node *n, struct cs_quota_counts *out);
+/* What a request's headers contain of a key. */
+struct key_scan {
+	unsigned keys; /* headers with a key */
+};
+/* Finds the workspace of a request, NULL if it needs none. False if the request was rejected. */
+bool workspaces_identify(struct request *req, const struct cs_route *r, const struct key_scan *scan,
+			 const struct cs_workspace **out);
+/* Takes a token, or begins to wait for one. False if the request was rejected. */
+bool workspaces_take_token(struct request *req, const struct cs_workspace *ws, unsigned budget_ms);
+/* The request ends. unused: nothing of it has run, so that another one may spend its token. */
+void workspaces_release(struct request *req, bool unused);
+/* True if the request may (still) be sent as far as its key is concerned. */
+bool workspaces_check(struct request *req);
+/* Ends a request for which workspaces_check is false. */
+void workspaces_refuse(struct request *req);
+void workspaces_handle_ask(struct node *n, const struct cs_quota_ask *ask);
+void workspaces_handle_reply(struct node *n, const struct cs_quota_reply *reply);
+
 /* probe.c: health checks of servers that are excluded until they pass one. */
 void probe_due(struct node *n);
 
--- a/src/node/reload.c
+++ b/src/node/reload.c
@@ -50,7 +50,10 @@
 	}
 	n->settings.bounds = loaded.bounds;
 	n->settings.termination_grace_ms = loaded.termination_grace_ms;
+	n->settings.revoke_ms = loaded.revoke_ms;
+	n->settings.quota = loaded.quota;
 	cs_steer_set_bounds(n->steer, &loaded.bounds);
+	workspaces_settings_changed(n);
 	cs_event(n->events, CS_EVENT_IMPORTANT, "settings.reloaded",
 		 "cause=%s retry_ratio=%.2f retry_extra=%u max_shift=%.2f", cause,
 		 loaded.bounds.retry_ratio, loaded.bounds.retry_extra, loaded.bounds.max_shift);
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -52,6 +52,7 @@
 	struct node *n = req->node;
 
 	stop_timers(req);
+	workspaces_release(req, false);
 	cs_steer_dequeue(n->steer, &req->steer_state);
 	end_attempts_except(req, NULL, CS_STEER_CANCELLED);
 	TAILQ_REMOVE(&n->requests, req, entry);
@@ -86,12 +87,19 @@
 	req->stage = STAGE_RESPONDING;
 }
 
-/*
- * Completes the request with an error response. 503 promises the client that the request did not
- * run, so it becomes 502 if the request may have run.
- */
-static void request_fail(struct request *req, unsigned status, const char *reason,
-			 unsigned retry_after_ms)
+/* Name of the request's workspace in log lines. */
+static const char *workspace_label(const struct request *req)
+{
+	return *req->workspace_name != '\0' ? req->workspace_name : "-";
+}
+
+/* Statuses of responses of this process that promise the client that the request did not run. */
+static bool is_refusal(unsigned status)
+{
+	return status == 503 || status == 429 || status == 401;
+}
+
+void request_fail(struct request *req, unsigned status, const char *reason, unsigned retry_after_ms)
 {
 	struct node *n = req->node;
 	bool may_have_run = request_may_have_run(req);
@@ -99,16 +107,18 @@
 
 	if (req->stage == STAGE_RESPONDING)
 		return;
-	if (status == 503 && may_have_run)
+	if (is_refusal(status) && may_have_run)
 		status = 502;
+	workspaces_release(req, !may_have_run);
 	enter_responding(req);
 	cs_timer_stop(&req->deadline_timer);
-	if (status == 503) {
+	if (is_refusal(status)) {
 		(*n->stats.refused)++;
 		cs_event(n->events, CS_EVENT_IMPORTANT, "request.refused",
-			 "id=%s route=%s service=%s reason=%s waited_ms=%u sends=%u "
-			 "retry_after_ms=%u left_ms=%lld",
-			 req->id, req->route, req->steer_state.service, reason,
+			 "id=%s status=%u route=%s workspace=%s service=%s reason=%s waited_ms=%u "
+			 "sends=%u retry_after_ms=%u left_ms=%lld",
+			 req->id, status, req->route, workspace_label(req),
+			 req->steer_state.service, reason,
 			 ms_since(req->steer_state.arrived_us, now), req->n_attempts,
 			 retry_after_ms, (long long)(req->steer_state.deadline_us - now) / 1000);
 	} else {
@@ -119,7 +129,7 @@
 			 req->id, req->route, req->steer_state.service, reason, status,
 			 ms_since(req->steer_state.arrived_us, now), req->n_attempts, may_have_run);
 	}
-	frontend_reply_error(req, status, reason, status == 503 ? retry_after_ms : 0);
+	frontend_reply_error(req, status, reason, is_refusal(status) ? retry_after_ms : 0);
 }
 
 void request_start(struct request *req)
@@ -150,10 +160,24 @@
 		request_fail(req, 503, "stopping", stop_retry_after_ms(req->node));
 		return;
 	}
+	if (req->token == TOKEN_PENDING) {
+		req->stage = STAGE_TOKEN;
+		return;
+	}
+	if (!workspaces_check(req)) {
+		workspaces_refuse(req);
+		return;
+	}
 	cs_steer_decide(req->node->steer, &req->steer_state, now, &d);
 	request_apply_decision(req, &d, now);
 }
 
+void request_token_decided(struct request *req)
+{
+	if (req->stage == STAGE_TOKEN)
+		request_decide(req);
+}
+
 size_t request_body(struct request *req, const char *data, size_t n)
 {
 	struct attempt *a;
@@ -263,7 +287,8 @@
 		if (!stop_limit_request(n, req))
 			continue;
 		update_deadline_timer(req, now);
-		if ((req->stage == STAGE_BODY || req->stage == STAGE_WAITING) &&
+		if ((req->stage == STAGE_BODY || req->stage == STAGE_TOKEN ||
+		     req->stage == STAGE_WAITING) &&
 		    !stop_may_send(n, req))
 			request_fail(req, 503, "stopping", stop_retry_after_ms(n));
 	}
@@ -272,7 +297,7 @@
 /* Logs a request whose connection this instance ends before its response. */
 static void log_cut(const struct request *req, const char *why)
 {
-	static const char *const stages[] = {"body", "waiting", "forwarded", "responding"};
+	static const char *const stages[] = {"body", "token", "waiting", "forwarded", "responding"};
 	const struct node *n = req->node;
 
 	cs_event(n->events, CS_EVENT_IMPORTANT, "request.cut",
@@ -323,6 +348,7 @@
 	struct node *n = req->node;
 
 	record_disconnect(req, end);
+	workspaces_release(req, !request_may_have_run(req));
 	stop_timers(req);
 	cs_steer_dequeue(n->steer, &req->steer_state);
 	end_attempts_except(req, NULL, CS_STEER_CANCELLED);
@@ -349,9 +375,10 @@
 	cs_event(n->events,
 		 failed || late || req->n_attempts > 1 ? CS_EVENT_IMPORTANT : CS_EVENT_SAMPLED,
 		 "request.answered",
-		 "id=%s route=%s service=%s server=%s zone=%s object=%08x status=%u took_ms=%llu "
+		 "id=%s route=%s workspace=%s service=%s server=%s zone=%s object=%08x status=%u "
+		 "took_ms=%llu "
 		 "send_ms=%u unsent_ms=%u target_ms=%u sends=%u late=%d load=%s",
-		 req->id, req->route, req->steer_state.service, a->server,
+		 req->id, req->route, workspace_label(req), req->steer_state.service, a->server,
 		 cs_backend_zone(a->backend), (unsigned)req->steer_state.object, status,
 		 (unsigned long long)(took / CS_US_PER_MS), ms_since(a->started_us, now),
 		 ms_since(a->started_us, cs_transfer_sent_us(a->transfer)),
@@ -364,6 +391,7 @@
 	unsigned status = cs_transfer_status(a->transfer);
 
 	enter_responding(req);
+	workspaces_release(req, false);
 	cs_timer_stop(&req->deadline_timer);
 	record_response(req, a, status);
 	frontend_forward_response(req, a);
@@ -375,6 +403,7 @@
 static void request_stream(struct request *req, struct attempt *a)
 {
 	enter_responding(req);
+	workspaces_release(req, false);
 	req->streaming_attempt = a;
 	end_attempts_except(req, a, CS_STEER_CANCELLED);
 	record_response(req, a, cs_transfer_status(a->transfer));
--- a/src/node/stats.c
+++ b/src/node/stats.c
@@ -28,6 +28,10 @@
 	s->unreadable_route =
 		cs_metrics_counter(m, "cassia_node_unreadable_route_total", "",
 				   "Refused because the document's route cannot be read");
+	s->bad_key = cs_metrics_counter(m, "cassia_node_bad_key_total", "",
+					"Rejected without the key of a workspace");
+	s->over_quota = cs_metrics_counter(m, "cassia_node_over_quota_total", "",
+					   "Refused as their workspace is over its quota");
 	s->cut_responses = cs_metrics_counter(m, "cassia_node_cut_responses_total", "",
 					      "Streamed answers that ended early");
 	s->cut_requests = cs_metrics_counter(m, "cassia_node_cut_requests_total", "",
@@ -91,6 +95,17 @@
 	s->document_problems =
 		cs_metrics_gauge(m, "cassia_node_document_problems", "",
 				 "Parts of the document in force that cannot be read");
+	s->workspaces = cs_metrics_gauge(m, "cassia_node_workspaces", "",
+					 "Workspaces in the document in force");
+	s->keys = cs_metrics_gauge(m, "cassia_node_keys", "", "Keys of workspaces in it");
+	s->key_age_ms = cs_metrics_gauge(m, "cassia_node_key_age_ms", "",
+					 "How long ago the document was known to be the newest");
+	s->keys_stale = cs_metrics_gauge(m, "cassia_node_keys_stale", "",
+					 "1 while requests with a key are refused for that");
+	s->quota_loans = cs_metrics_gauge(m, "cassia_node_quota_loans", "",
+					  "Instances for which this one keeps tokens");
+	s->quota_waiting = cs_metrics_gauge(m, "cassia_node_quota_waiting", "",
+					    "Requests that wait for a token");
 	s->in_flight = cs_metrics_gauge(m, "cassia_node_in_flight", "", "Requests of callers now");
 	s->store_unreachable = cs_metrics_gauge(m, "cassia_node_store_away", "",
 						"1 while the store does not answer");
--- a/src/node/store-sync.c
+++ b/src/node/store-sync.c
@@ -19,6 +19,10 @@
 	struct node *node;
 	struct cs_feed state;
 	struct platform_call *call;
+	uint64_t call_us; /* when it was made, by cs_boottime_us */
+	uint64_t read_us; /* the same for the first page of the full read in progress */
+	/* Time up to which the changes of the store are known; 0: it was not read yet. */
+	uint64_t known_us;
 	struct cs_timer call_timer;
 	/* Watch of the servers' entries while a large response to call is being received. */
 	bool entries_ahead; /* such a response is being received */
@@ -80,6 +84,19 @@
 	return ss->state.revision;
 }
 
+void store_sync_confirm_document(struct store_sync *ss)
+{
+	if (ss->known_us > 0 && document_load_is_current(ss->node->document_load))
+		workspaces_confirm(ss->node, ss->known_us);
+}
+
+/* All changes up to a time are known. */
+static void known_until(struct store_sync *ss, uint64_t known_us)
+{
+	ss->known_us = known_us;
+	store_sync_confirm_document(ss);
+}
+
 bool store_sync_is_fresh(const struct store_sync *ss)
 {
 	return cs_feed_is_fresh(&ss->state, cs_mono_us());
@@ -132,12 +149,14 @@
 			 now);
 	log_role_transition(ss);
 	cs_feed_next(&ss->state, now, &step);
+	ss->call_us = cs_boottime_us();
 	switch (step.kind) {
 	case CS_FEED_PAUSE:
 		cs_timer_start(n->timers, &ss->call_timer, step.until_us - now);
 		break;
 	case CS_FEED_READ:
 		if (step.first) {
+			ss->read_us = ss->call_us;
 			ss->last_key[0] = '\0';
 			memset(ss->evacuated_seen, 0, sizeof(ss->evacuated_seen));
 			cs_steer_full_read_begin(n->steer);
@@ -375,6 +394,7 @@
 	if (!cs_timer_active(&ss->restored_timer))
 		end_evacuations(ss, now);
 	cs_steer_full_read_end(n->steer, current_grace_us(ss, now), now);
+	known_until(ss, ss->read_us);
 	cs_event(n->events, CS_EVENT_IMPORTANT, "store.read", "revision=%llu servers=%u",
 		 (unsigned long long)ss->state.revision, cs_steer_count_servers(n->steer));
 }
@@ -444,6 +464,8 @@
 		cs_feed_watch_completed(&ss->state, resp->revision, resp->n_items, now);
 		for (i = 0; i < resp->n_items; i++)
 			apply_change(ss, &resp->items[i], &known, now);
+		if (!ss->state.reading)
+			known_until(ss, ss->call_us);
 		if (resp->n_items > 0 && cs_steer_is_large_fleet(n->steer) && !ss->state.following)
 			gossip_send_changes(n->gossip, resp, false, known.revision,
 					    (unsigned)(current_grace_us(ss, now) / CS_US_PER_MS));
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -5,7 +5,6 @@
 #include "src/node/wire.h"
 #include "wire/wire.h"
 
-#define FORMAT_VERSION 3
 /* Elements of each kind of message. */
 #define REPORT_ELEMENTS 15
 /* Elements of a report from the first version, without those that were appended since. */
@@ -29,6 +28,7 @@
 #define FLAG_LEAVING 2
 #define FLAG_STORE_STABLE 4
 #define FLAG_STORE_FRESH 8
+#define FLAG_KEYS_STALE 16
 
 static void pack_text(msgpack_packer *pk, const char *s)
 {
@@ -122,7 +122,8 @@
 static int report_flags(const struct cs_steer_report *r)
 {
 	return (r->ready ? FLAG_READY : 0) | (r->leaving ? FLAG_LEAVING : 0) |
-	       (r->store_stable ? FLAG_STORE_STABLE : 0) | (r->store_fresh ? FLAG_STORE_FRESH : 0);
+	       (r->store_stable ? FLAG_STORE_STABLE : 0) | (r->store_fresh ? FLAG_STORE_FRESH : 0) |
+	       (r->keys_stale ? FLAG_KEYS_STALE : 0);
 }
 
 static void pack_report(msgpack_sbuffer *buf, const struct cs_steer_report *r, unsigned n_rows)
@@ -133,7 +134,7 @@
 	msgpack_sbuffer_clear(buf);
 	msgpack_packer_init(&pk, buf, msgpack_sbuffer_write);
 	msgpack_pack_array(&pk, REPORT_ELEMENTS);
-	msgpack_pack_int(&pk, FORMAT_VERSION);
+	msgpack_pack_int(&pk, WIRE_FORMAT_VERSION);
 	msgpack_pack_int(&pk, r->is_digest ? WIRE_DIGEST : WIRE_REPORT);
 	pack_text(&pk, r->name);
 	msgpack_pack_uint64(&pk, r->boot);
@@ -174,7 +175,7 @@
 	msgpack_sbuffer_clear(buf);
 	msgpack_packer_init(&pk, buf, msgpack_sbuffer_write);
 	msgpack_pack_array(&pk, CHANGES_ELEMENTS);
-	msgpack_pack_int(&pk, FORMAT_VERSION);
+	msgpack_pack_int(&pk, WIRE_FORMAT_VERSION);
 	msgpack_pack_int(&pk, c->entries_only ? WIRE_ENTRIES : WIRE_CHANGES);
 	pack_text(&pk, c->name);
 	msgpack_pack_uint64(&pk, c->from);
@@ -381,6 +382,7 @@
 	r->leaving = v[5].via.u64 & FLAG_LEAVING;
 	r->store_stable = v[5].via.u64 & FLAG_STORE_STABLE;
 	r->store_fresh = v[5].via.u64 & FLAG_STORE_FRESH;
+	r->keys_stale = v[5].via.u64 & FLAG_KEYS_STALE;
 	r->store_revision = v[6].via.u64;
 	r->root_index = (unsigned)v[10].via.u64;
 	return unpack_services(&v[7], r) && unpack_rows(&v[8], r) && unpack_ready(&v[9], r) &&
@@ -442,7 +444,8 @@
 		goto out;
 	v = msg.data.via.array.ptr;
 	n = msg.data.via.array.size;
-	if (!is_uint(&v[0], UINT32_MAX) || v[0].via.u64 != FORMAT_VERSION || !is_uint(&v[1], 255))
+	if (!is_uint(&v[0], UINT32_MAX) || v[0].via.u64 != WIRE_FORMAT_VERSION ||
+	    !is_uint(&v[1], 255))
 		goto out;
 	out->kind = (enum wire_kind)v[1].via.u64;
 	switch (out->kind) {
@@ -456,6 +459,12 @@
 		ok = unpack_changes(v, n, &out->u.changes);
 		out->u.changes.entries_only = out->kind == WIRE_ENTRIES;
 		break;
+	case WIRE_QUOTA_ASK:
+		ok = wire_unpack_ask(v, n, &out->u.ask);
+		break;
+	case WIRE_QUOTA_REPLY:
+		ok = wire_unpack_reply(v, n, &out->u.reply);
+		break;
 	}
 out:
 	msgpack_unpacked_destroy(&msg);
--- a/src/node/wire.h
+++ b/src/node/wire.h
@@ -15,7 +15,9 @@
 	WIRE_REPORT = 1, /* state of one instance */
 	WIRE_DIGEST = 2, /* aggregated state of a zone's instances */
 	WIRE_CHANGES = 3, /* changes of the store */
-	WIRE_ENTRIES = 4 /* changes of servers' entries alone, ahead of others */
+	WIRE_ENTRIES = 4, /* changes of servers' entries alone, ahead of others */
+	WIRE_QUOTA_ASK = 5, /* question to a keeper of tokens; quota-wire.c */
+	WIRE_QUOTA_REPLY = 6
 };
 
 /* Store changes that an instance which watches the store relays to others. */
@@ -39,6 +41,8 @@
 };
 
 void wire_pack_report(msgpack_sbuffer *buf, const struct cs_steer_report *r);
+void wire_pack_ask(msgpack_sbuffer *buf, const struct cs_quota_ask *ask);
+void wire_pack_reply(msgpack_sbuffer *buf, const struct cs_quota_reply *reply);
 void wire_pack_changes(msgpack_sbuffer *buf, const struct wire_changes *c);
 
 /* A decoded message; the values of changes point into the datagram. */
@@ -47,8 +51,15 @@
 	union {
 		struct cs_steer_report report; /* WIRE_REPORT, WIRE_DIGEST */
 		struct wire_changes changes;
+		struct cs_quota_ask ask;
+		struct cs_quota_reply reply;
 	} u;
 };
+/* quota-wire.c: reads the elements of a message of that kind. */
+bool wire_unpack_ask(const msgpack_object *v, uint32_t n, struct cs_quota_ask *out);
+bool wire_unpack_reply(const msgpack_object *v, uint32_t n, struct cs_quota_reply *out);
+/* Version of the messages, their first element. */
+#define WIRE_FORMAT_VERSION 3
 /* False if the message is malformed. */
 bool wire_unpack(const char *data, size_t len, struct wire_message *out);
 
