--- a/lib/steer/admission.c
+++ b/lib/steer/admission.c
@@ -90,6 +90,12 @@
 	return req->workspace != 0 && cs_fair_is_over(svc->fair, req->workspace, now_us);
 }
 
+static unsigned fair_level(const struct cs_steer_service *svc, const struct cs_steer_request *req,
+			   uint64_t now_us)
+{
+	return req->workspace != 0 ? cs_fair_level(svc->fair, req->workspace, now_us) : 0;
+}
+
 /* True if the queue is too long for the request to be served in time. */
 static bool queue_full(const struct cs_steer *s, const struct cs_steer_service *svc,
 		       const struct cs_steer_request *req, uint64_t now_us)
@@ -102,6 +108,29 @@
 	return svc->n_waiting + 1 > most;
 }
 
+/*
+ * Ends the wait of the oldest request whose workspace got more of its share than that of the new
+ * one, and which is not more urgent: it is refused instead. False if there is none.
+ */
+static bool make_room(struct cs_steer_service *svc, const struct cs_steer_request *req,
+		      uint64_t now_us)
+{
+	struct cs_steer_request *other;
+	unsigned level;
+
+	if (req->workspace == 0)
+		return false;
+	level = fair_level(svc, req, now_us);
+	TAILQ_FOREACH_REVERSE(other, &svc->waiting, request_list, entry) {
+		if (other->until_us <= now_us || other->priority < req->priority ||
+		    fair_level(svc, other, now_us) <= level)
+			continue;
+		other->until_us = now_us;
+		return true;
+	}
+	return false;
+}
+
 static void decide_wait(struct cs_steer_service *svc, struct cs_steer_request *req,
 			uint64_t until_us, struct cs_steer_decision *out)
 {
@@ -181,7 +210,7 @@
 		decide_refuse(s, svc, req, CS_STEER_NO_SERVER, now_us, out);
 		return;
 	}
-	if (until <= now_us || queue_full(s, svc, req, now_us)) {
+	if (until <= now_us || (queue_full(s, svc, req, now_us) && !make_room(svc, req, now_us))) {
 		decide_refuse(s, svc, req, CS_STEER_OVERLOAD, now_us, out);
 		return;
 	}
@@ -189,21 +218,21 @@
 }
 
 /*
- * True if a is served before b: the more urgent first, then those of workspaces within their fair
- * share, then the newer. Under overload only the newest requests can still meet their target; the
- * older ones miss it in any order.
+ * True if a is served before b: the more urgent first, then those of workspaces that got less of
+ * their fair share, then the newer. Under overload only the newest requests can still meet their
+ * target; the older ones miss it in any order.
  */
 static bool has_precedence(const struct cs_steer_service *svc, const struct cs_steer_request *a,
 			   const struct cs_steer_request *b, uint64_t now_us)
 {
-	bool a_over, b_over;
+	unsigned a_level, b_level;
 
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
-	a_over = is_over_share(svc, a, now_us);
-	b_over = is_over_share(svc, b, now_us);
-	if (a_over != b_over)
-		return b_over;
+	a_level = fair_level(svc, a, now_us);
+	b_level = fair_level(svc, b, now_us);
+	if (a_level != b_level)
+		return a_level < b_level;
 	return a->arrived_us > b->arrived_us;
 }
 
--- a/lib/steer/keepers.c
+++ b/lib/steer/keepers.c
@@ -43,13 +43,13 @@
 static void zone_keepers(const struct cs_steer *s, unsigned zone, uint64_t now_us,
 			 struct cs_quota_zone *out)
 {
-	struct ranking r;
 	const struct member *m;
+	struct ranking r;
 	unsigned slot;
 
 	memset(out, 0, sizeof(*out));
 	for (slot = 0; slot < CS_QUOTA_SLOTS; slot++) {
-		r.names = out->keepers[slot];
+		r = (struct ranking){.names = out->keepers[slot]};
 		if (zone == s->zone && !s->leaving)
 			ranking_add(&r, s->opts.instance, keeper_weight(s->name_hash, slot));
 		TAILQ_FOREACH(m, &s->members, entry)
--- a/lib/workspace/fair.c
+++ b/lib/workspace/fair.c
@@ -14,7 +14,7 @@
 #define PLAN_MAX_AGE_US (100 * CS_US_PER_MS)
 #define PLAN_AGE_PER_WORKSPACE_US 10
 /* A workspace is over its share at this multiple of it. */
-#define OVER_FACTOR 1.25
+#define OVER_FACTOR 1.1
 /* Below this number of recent requests, of one workspace or all, nothing is concluded. */
 #define FEW_REQUESTS 2.0
 /* Workspaces with fewer recent requests than this are forgotten when they have not usual demand. */
@@ -68,12 +68,12 @@
 
 void cs_fair_destroy(struct cs_fair *f)
 {
-	struct share *s;
+	struct share *s, *next;
 
 	if (f == NULL)
 		return;
-	while ((s = TAILQ_FIRST(&f->list)) != NULL)
-		share_free(f, s);
+	TAILQ_FOREACH_SAFE(s, &f->list, list, next)
+		free(s);
 	free(f);
 }
 
@@ -152,12 +152,8 @@
 	struct share *s, *next;
 	unsigned i;
 
-	TAILQ_FOREACH_SAFE(s, &f->list, list, next) {
+	TAILQ_FOREACH(s, &f->list, list) {
 		share_update(s, now_us);
-		if (s->asked < FORGOTTEN && s->usual < FORGOTTEN) {
-			share_free(f, s);
-			continue;
-		}
 		s->settled = false;
 		left += s->got;
 		weights += weight(s);
@@ -169,18 +165,32 @@
 		if (!s->settled)
 			s->part = weights > 0 ? weight(s) * left / weights : 0;
 	f->planned_us = now_us;
+	TAILQ_FOREACH_SAFE(s, &f->list, list, next)
+		if (s->asked < FORGOTTEN && s->usual < FORGOTTEN)
+			share_free(f, s);
 }
 
-bool cs_fair_is_over(struct cs_fair *f, uint64_t id, uint64_t now_us)
+/* What a workspace got as a multiple of its fair share; 0 if nothing can be concluded. */
+static double share_ratio(struct cs_fair *f, uint64_t id, uint64_t now_us)
 {
-	struct share *s = share_get(f, id, now_us);
+	const struct share *s;
 
 	if (now_us - f->planned_us >= PLAN_MAX_AGE_US + f->n * PLAN_AGE_PER_WORKSPACE_US)
 		plan(f, now_us);
-	/* The plan may have forgotten it. */
 	s = share_get(f, id, now_us);
-	return s->got >= FEW_REQUESTS && f->got > s->got + FEW_REQUESTS &&
-	       s->got > OVER_FACTOR * s->part;
+	if (s->got < FEW_REQUESTS || f->got <= s->got + FEW_REQUESTS)
+		return 0;
+	return s->part > 0 ? s->got / s->part : CS_FAIR_LEVEL_MAX;
+}
+
+bool cs_fair_is_over(struct cs_fair *f, uint64_t id, uint64_t now_us)
+{
+	return share_ratio(f, id, now_us) > OVER_FACTOR;
+}
+
+unsigned cs_fair_level(struct cs_fair *f, uint64_t id, uint64_t now_us)
+{
+	return (unsigned)fmin(8 * share_ratio(f, id, now_us), CS_FAIR_LEVEL_MAX);
 }
 
 unsigned cs_fair_count(const struct cs_fair *f)
--- a/lib/workspace/quota-int.h
+++ b/lib/workspace/quota-int.h
@@ -51,6 +51,7 @@
 	double fraction; /* of the deployment's rights */
 	unsigned slots; /* bit mask */
 	uint64_t until_us;
+	bool ended; /* it is freed by keeper_sweep */
 };
 
 /* Rights of a slot that this instance lent. */
@@ -114,6 +115,8 @@
 /* quota-keeper.c */
 /* Brings the integrals up to date and ends loans. */
 void keeper_advance(struct cs_quota *q, uint64_t now_us);
+/* Frees loans that have ended. */
+void keeper_sweep(struct cs_quota *q);
 void keeper_free(struct cs_quota *q);
 /* Before the state of a workspace is forgotten: it must not get more tokens by that. */
 void keeper_forget(struct cs_quota *q, const struct entry *e);
--- a/lib/workspace/quota-keeper.c
+++ b/lib/workspace/quota-keeper.c
@@ -59,16 +59,27 @@
 	}
 }
 
-static void loan_free(struct cs_quota *q, struct loan *l)
+static void loan_end(struct cs_quota *q, struct loan *l)
 {
-	TAILQ_REMOVE(&q->loans, l, list);
+	l->ended = true;
 	q->counts.loans--;
-	free(l);
 }
 
-void keeper_advance(struct cs_quota *q, uint64_t now_us)
+void keeper_sweep(struct cs_quota *q)
 {
 	struct loan *l, *next;
+
+	TAILQ_FOREACH_SAFE(l, &q->loans, list, next) {
+		if (!l->ended)
+			continue;
+		TAILQ_REMOVE(&q->loans, l, list);
+		free(l);
+	}
+}
+
+void keeper_advance(struct cs_quota *q, uint64_t now_us)
+{
+	struct loan *l;
 	bool returned = false;
 	uint64_t end;
 	unsigned i;
@@ -76,7 +87,9 @@
 	if (now_us <= q->advanced_us)
 		return;
 	memset(q->held, 0, sizeof(q->held));
-	TAILQ_FOREACH_SAFE(l, &q->loans, list, next) {
+	TAILQ_FOREACH(l, &q->loans, list) {
+		if (l->ended)
+			continue;
 		end = l->until_us < now_us ? l->until_us : now_us;
 		for (i = 0; i < CS_QUOTA_SLOTS; i++) {
 			if (!loan_covers(l, i))
@@ -90,7 +103,7 @@
 		if (l->until_us > now_us)
 			continue;
 		returned = true;
-		loan_free(q, l);
+		loan_end(q, l);
 	}
 	q->advanced_us = now_us;
 	if (returned)
@@ -99,10 +112,10 @@
 
 void keeper_free(struct cs_quota *q)
 {
-	struct loan *l;
+	struct loan *l, *next;
 
-	while ((l = TAILQ_FIRST(&q->loans)) != NULL)
-		loan_free(q, l);
+	TAILQ_FOREACH_SAFE(l, &q->loans, list, next)
+		free(l);
 }
 
 void keeper_forget(struct cs_quota *q, const struct entry *e)
@@ -121,7 +134,7 @@
 	struct loan *l;
 
 	TAILQ_FOREACH(l, &q->loans, list)
-		if (l->boot == ask->boot && strcmp(l->name, ask->from) == 0)
+		if (!l->ended && l->boot == ask->boot && strcmp(l->name, ask->from) == 0)
 			return l;
 	return NULL;
 }
@@ -134,7 +147,7 @@
 	for (i = 0; i < CS_QUOTA_SLOTS; i++)
 		if (loan_covers(l, i))
 			q->held[i] = fmax(0, q->held[i] - l->fraction);
-	loan_free(q, l);
+	loan_end(q, l);
 	trim(q);
 }
 
--- a/lib/workspace/quota.c
+++ b/lib/workspace/quota.c
@@ -84,15 +84,15 @@
 
 void cs_quota_destroy(struct cs_quota *q)
 {
-	struct entry *e;
-	struct keeper_link *l;
+	struct keeper_link *l, *next_link;
+	struct entry *e, *next;
 
 	if (q == NULL)
 		return;
-	while ((e = TAILQ_FIRST(&q->list)) != NULL)
-		entry_free(q, e);
-	while ((l = TAILQ_FIRST(&q->links)) != NULL)
-		link_free(q, l);
+	TAILQ_FOREACH_SAFE(e, &q->list, list, next)
+		free(e);
+	TAILQ_FOREACH_SAFE(l, &q->links, list, next_link)
+		free(l);
 	keeper_free(q);
 	free(q);
 }
@@ -406,6 +406,7 @@
 	q->round_us = now_us;
 	memset(q->due, true, sizeof(q->due));
 	q->zone_offset++;
+	keeper_sweep(q);
 	TAILQ_FOREACH_SAFE(e, &q->list, list, next) {
 		if (now_us - e->used_us > ENTRY_IDLE_US && e->waiting == 0) {
 			keeper_forget(q, e);
--- a/tests/run/node-lib.sh
+++ b/tests/run/node-lib.sh
@@ -22,7 +22,8 @@
 	 "listen":{"front":"127.$run.$1.1:8144","ready":"127.$run.$1.1:8140","directory":"127.$run.$1.1:8143"},
 	 "limits":{"file-descriptors":1024},
 	 "bounds":{"retry-budget-ratio":0.2,"budget-window-s":10,"budget-extra-retries":60,"max-shift":0.15,
-	  "cold-overrun":1.5,"cold-slack":5,"ttl_max_s":5,"stable-window-ms":3000,"grace-period-s":6},
+	  "cold-overrun":1.5,"cold-slack":5,"ttl_max_s":5,"stable-window-ms":3000,"grace-period-s":6,
+	  "revoke-everywhere":true,"revoke-ms":3000,"quota-window-s":2,"quota-overrun":0.1,"quota-slack":20},
 	 "platform":{"address":"${store_relay_addr:-$store}:8142","min-ttl-ms":1000}}
 	JSON
 }
--- a/tests/unit/test-quota.c
+++ b/tests/unit/test-quota.c
@@ -240,7 +240,7 @@
 
 static struct cs_quota_zone zone_keepers(const struct fleet *f, unsigned zone, unsigned viewer)
 {
-	struct cs_quota_zone z;
+	struct cs_quota_zone z = {0};
 	unsigned slot;
 
 	for (slot = 0; slot < CS_QUOTA_SLOTS; slot++)
@@ -560,7 +560,7 @@
 	for (i = 0; i < 30 * CS_US_PER_S / STEP_US; i++) {
 		if (i % (1500 * CS_US_PER_MS / STEP_US) == 0)
 			single_failure(f, cs_rng_below(&f->rng, f->n));
-		for (k = 0; k < f->n_ws; k++)
+		for (k = 0; k < G_N_ELEMENTS(rates); k++)
 			load(f, k, rates[k] * loads[k], -1);
 		step(f);
 	}
