workspaces: tests of single guards, soak with keys and quotas, documentation

The soak's callers now name workspaces: the key of one is withdrawn at times, another floods. cassiactl explain knows the reasons of refusals for keys and quotas.

--- a/src/ctl/request-log.c
+++ b/src/ctl/request-log.c
@@ -32,6 +32,12 @@
 	{"attempts", "the route's number of attempts was used up"},
 	{"lost", "a send may have run and brought no usable answer; it must not be sent again"},
 	{"not_ready", "the instance had not read the store yet"},
+	{"key_missing", "the route is not public, and the request named no workspace by a key"},
+	{"key_unknown", "no workspace of the document in force has the key; it may be withdrawn"},
+	{"key_ambiguous", "the request had several keys"},
+	{"keys_out_of_date", "the instance had not learned for too long which keys are withdrawn"},
+	{"workspace_unreadable", "the workspace, or one whose keys are not known, cannot be read"},
+	{"quota", "the workspace had used up its quota over all instances"},
 	{"no_route", "no route of the document in force matched host and path"},
 	{"bad_request", "the request's head was malformed"},
 };
--- a/tests/run/check.d/node-workspaces.sh
+++ b/tests/run/check.d/node-workspaces.sh
@@ -63,7 +63,7 @@
 curl -sSf "$control/mode?mode=silent" >/dev/null
 ok "shortly after the store went away the key is honoured" has "$(key 1 /safe/x key-a-2)" 'HTTP/1.1 200'
 sleep 4
-ok "later requests with a key are refused" has "$(key 1 /safe/x key-a-2)" 'keys_out_of_date'
+ok "later requests with a key are refused" has "$(id=x-old key 1 /safe/x key-a-2)" 'keys_out_of_date'
 ok "the refusal says when to come back" has "$(key 1 /safe/x key-a-2)" '[Rr]etry-[Aa]fter: 1'
 ok "public routes are served on" has "$(call 1 /open/x)" 'HTTP/1.1 200'
 not_ready() { ! ready 1; }
@@ -73,4 +73,10 @@
 served_again() { key 1 /safe/x key-a-2 | grep -q 'HTTP/1.1 200'; }
 ok "with the store the key is honoured again" wait_for 5 served_again
 ok "no key stands in a log" lacks_key
+# explains CAUSE ID: cassiactl explain names the cause of the request.
+explains() { "$build/bin/cassiactl" explain "$2" --logs "$dir/node1.log" --logs "$dir/node2.log" 2>&1 | grep -q "^cause: $1"; }
+id=x-key key 1 /safe/x key-a-9 >/dev/null
+sleep 0.6
+ok "explain names an unknown key" explains key_unknown x-key
+ok "explain names keys that are out of date" explains keys_out_of_date x-old
 finish
--- a/tests/run/node-lib.sh
+++ b/tests/run/node-lib.sh
@@ -37,7 +37,7 @@
 ready() { curl -sSf "http://127.$run.$1.1:8140/v1/readiness"; }
 
 # document VERSION [TIMEOUT_MS]: stores the operators' document with a safe, an unsafe, an upload and a download route,
-# and an idle timeout of $idle_ms.
+# and an idle timeout of $idle_ms. With $workspaces set, requests need a key of one of these.
 document() {
 	local timeout=${2:-1500} rows="" kind
 	for kind in safe unsafe upload download; do
@@ -47,7 +47,7 @@
 	done
 	curl -sSf "$control/put?key=op/config" -d "{\"version\":\"r$1\",\"routes\":[$rows],
 	 \"services\":[{\"name\":\"svc\",\"health-path\":\"/health\",\"connection-limit\":360,\"cold-start-s\":3.0,\"cold-per-s\":11.0}],
-	 \"limits\":{\"idle-timeout-ms\":${idle_ms:-15000}}}" >/dev/null
+	 \"limits\":{\"idle-timeout-ms\":${idle_ms:-15000}}${workspaces:+,\"tenants\":[$workspaces]}}" >/dev/null
 }
 
 # call N PATH [CURL-ARGUMENTS...]: sends a request to instance N with $id as its id, or a new id if $id is
--- a/tests/run/soak.sh
+++ b/tests/run/soak.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Soak test of INSTANCES processes of cassia-node under random faults drawn from SEED, for SECONDS_LONG seconds. Guards
 # against unsafe requests that run twice, that run although they were refused as not executed, or that get the
-# response to another request, against requests to a server that stated in a response that it leaves, and against
-# instances that do not recover.
+# response to another request, against requests to a server that stated in a response that it leaves, against a key
+# that is honoured long after it was withdrawn and a workspace that runs more than its quota, and against instances
+# that do not recover.
 # Instances are killed, stopped, suspended and restarted, also in series and at the same time, while their callers go
 # on using open connections. The store stops answering, refuses requests or compacts its history. Servers name limits
 # or a Retry-After, or leave. A relay delays, resets or drops traffic to the servers and the store, also in one
@@ -41,6 +42,12 @@
 	  {"prefix":"127.","zone":"any"}],
 	 "links":[]}
 JSON
+# Callers 1 and 2 send with keys of their own; that of the first one is withdrawn at times, the second one floods.
+steady_workspaces='{"name":"main","api-keys":["main"]},{"name":"flood","api-keys":["flood"],"rate-per-s":10,"burst":10}'
+workspaces="$steady_workspaces,{\"name\":\"moving\",\"api-keys\":[\"moving\"]}"
+revoke_ms=3000
+quota_window_ms=2000
+quota_limit=53 # (10 * 2 + 10) * 1.1 + 20
 start links "$build/bin/standin-links" --list "$dir/links.json" --control-address "127.$run.8.2"
 start_all
 for i in "${nodes[@]:2}"; do start_node "$i" "z$(((i - 1) % 2 + 1))"; done
@@ -48,17 +55,35 @@
 entry=$(curl -sSf "http://$store:8142/v1/kv-range?prefix=servers/i-1" | jq -r ".items[0].value" | base64 -d)
 
 now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
+start_ms=$(now_ms)
+next_document() { document $((100 + ($(now_ms) - start_ms) / 10)); }
+# Withdraws the key of the first caller, and writes it again some seconds later.
+withdraw() {
+	[ -e "$dir/key-withdrawn" ] && return
+	touch "$dir/key-withdrawn"
+	workspaces=$steady_workspaces next_document
+	echo "from $(now_ms)" >>"$dir/withdrawn"
+	later "$1" give_back
+}
+give_back() {
+	echo "to $(now_ms)" >>"$dir/withdrawn"
+	next_document
+	rm "$dir/key-withdrawn"
+}
 # caller K: sends unsafe requests in sequence, each four on one connection, and prints a line "ID STATUS MATCHES INSTANCE
-# SENT_MS DONE_MS SERVER LEAVES" for each request; LEAVES is 1 if the response states that the server leaves.
+# SENT_MS DONE_MS SERVER LEAVES KEY" for each request; LEAVES is 1 if the response states that the server leaves.
 caller() {
-	local k=$1 n=0 i node args times at status sent done_ms match server leaves modes=('' '' '' '&mode=shed' '&mode=no-signature' '&ms=30' '&mode=shed&retry=0.4')
+	local k=$1 n=0 i node args times key=main at status sent done_ms match server leaves modes=('' '' '' '&mode=shed' '&mode=no-signature' '&ms=30' '&mode=shed&retry=0.4')
+	[ "$k" = 1 ] && key=moving
+	[ "$k" = 2 ] && key=flood
 	RANDOM=$((seed * 100 + k))
 	while [ ! -e "$dir/stop" ]; do
 		node=${nodes[RANDOM % instances]} args=()
 		for i in 1 2 3 4; do
 			args+=(--next -sS -i --max-time 4 -o "$dir/response.$k.$i" -w '%{http_code} %{time_total}\n' -d body
 				"http://127.$run.$node.1:8144/unsafe/x?ms=$((RANDOM % 40))${modes[RANDOM % 7]}" -H 'Host: h.example'
-				-H "Cassiascale-Attempt-Id: s$k-$((n + i))" -H 'Cassiascale-Deadline-Milliseconds: 2000')
+				-H "Cassiascale-Attempt-Id: s$k-$((n + i))" -H 'Cassiascale-Deadline-Milliseconds: 2000'
+				-H "Cassiascale-Key: $key")
 		done
 		rm -f "$dir/response.$k."*
 		at=$(now_ms)
@@ -69,7 +94,7 @@
 			grep -qs "id=s$k-$((n + i))\$" "$dir/response.$k.$i" && match=1 || match=0
 			grep -qsi '^Server-Leaving: 1' "$dir/response.$k.$i" && leaves=1 || leaves=0
 			server=$(grep -aos '^server=[^ ]*' "$dir/response.$k.$i")
-			echo "s$k-$((n + i)) $status $match $node $sent $done_ms ${server:-server=} $leaves"
+			echo "s$k-$((n + i)) $status $match $node $sent $done_ms ${server:-server=} $leaves $key"
 		done
 		n=$((n + 4))
 	done
@@ -130,14 +155,14 @@
 end=$((SECONDS + duration_s))
 while [ $SECONDS -lt $end ]; do
 	n=${nodes[RANDOM % instances]}
-	case $((RANDOM % 18)) in
+	case $((RANDOM % 20)) in
 	0) signal KILL "$n"; sleep 0.$((RANDOM % 9)); restart "$n" ;;
 	1) signal TERM "$n"; sleep 1.$((RANDOM % 9)); restart "$n" ;;
 	2) signal STOP "$n"; sleep 1.$((RANDOM % 9)); signal CONT "$n" ;;
 	3) reload "$n" ;;
 	4) store_mode silent; later 1.$((RANDOM % 9)) store_mode ok ;;
 	5) store_mode busy; later 0.$((RANDOM % 9)) store_mode ok ;;
-	6) curl -sS "$control/compact" >/dev/null; document $((100 + SECONDS)) ;;
+	6) curl -sS "$control/compact" >/dev/null; next_document ;;
 	7) for n in "${nodes[@]}"; do signal KILL "$n"; done; restart_all ;;
 	8) link "from=n$n&to=servers&both=1&mode=cut"; later 0.$((RANDOM % 9)) link 'mode=ok' ;;
 	9) link "from=n$n&to=servers&both=1&mode=hole"; later 1.$((RANDOM % 9)) link 'mode=ok' ;;
@@ -147,6 +172,8 @@
 	13) for n in "${nodes[@]}"; do signal TERM "$n"; sleep "$step_s"; done; sleep 1; restart_all ;;
 	14) n=$((RANDOM % 3 + 2)); limit $n $((RANDOM % 20 + 2)); later 1.$((RANDOM % 9)) limit $n '' ;;
 	17) link "from=servers&to=n$n&copies=1"; later 1.$((RANDOM % 9)) link 'copies=0' ;;
+	18) withdraw $((RANDOM % 4 + 4)).$((RANDOM % 9)) ;;
+	19) link "from=n$n&to=store&both=1&mode=hole"; later $((RANDOM % 3 + 4)).$((RANDOM % 9)) link 'mode=ok' ;;
 	15 | 16) leave $((RANDOM % 5 + 4)).$((RANDOM % 9)) ;;
 	esac
 	sleep 0.$((RANDOM % 9))
@@ -176,7 +203,7 @@
 	total=$((total + 1))
 	bad=""
 	[ "$r" -gt 1 ] && bad="executed $r times"
-	[ "$status" = 503 ] && [ "$r" -ne 0 ] && bad="refused as not executed, but executed $r times"
+	[[ $status = 503 || $status = 429 || $status = 401 ]] && [ "$r" -ne 0 ] && bad="refused as not executed, but executed $r times"
 	[ "$status" = 200 ] && { [ "$match" = 1 ] && [ "$r" -eq 1 ] || bad="answered with the response to another request, or not executed exactly once"; }
 	[ -n "$bad" ] && { echo "violation: $id status $status: $bad"; violations=$((violations + 1)); }
 done < <(history_with_runs)
@@ -210,7 +237,29 @@
 			}
 		}' "$dir/interrupted" "$dir/processes" "$dir"/history.*
 }
-late=$(leaving_violations)
+# Prints requests that ran with a withdrawn key, and windows in which the flooding workspace ran more than its quota.
+workspace_violations() {
+	touch "$dir/withdrawn"
+	history_with_runs | awk -v revoke=$((revoke_ms + margin_ms)) -v window=$quota_window_ms -v limit=$quota_limit '
+		FILENAME ~ /withdrawn$/ { if ($1 == "from") from[++w] = $2; else to[w] = $2; next }
+		$1 < 1 { next }
+		$10 == "moving" {
+			for (i = 1; i <= w; i++)
+				if ($6 > from[i] + revoke && (!(i in to) || $6 < to[i]))
+					printf "violation: %s ran %d ms after its key was withdrawn\n", $2, $6 - from[i]
+		}
+		$10 == "flood" { n++; sent[n] = $6; done[n] = $7 }
+		END {
+			for (i = 1; i <= n; i++) {
+				count = 0
+				for (j = i; j <= n && sent[j] <= sent[i] + window; j++)
+					count += done[j] <= sent[i] + window
+				if (count > limit)
+					printf "violation: %d requests of a workspace ran in a window, %d allowed\n", count, limit
+			}
+		}' "$dir/withdrawn" -
+}
+late=$(leaving_violations; workspace_violations)
 if [ -n "$late" ]; then
 	echo "$late"
 	violations=$((violations + $(wc -l <<<"$late")))
--- a/tests/standins/platform/server.c
+++ b/tests/standins/platform/server.c
@@ -165,16 +165,18 @@
 		cs_http_add_header(req, "Cassiascale-Attempt-Id", id);
 }
 
-/* Adds what the request says of its workspace to the body, if it says anything. */
-static void add_workspace(struct cs_http_req *req, char *body, size_t size)
+/* What the request says of its workspace, for the body; "" if it says nothing. */
+static const char *workspace_text(struct cs_http_req *req)
 {
+	static char text[128];
 	const char *name = cs_http_header(req, "Cassiascale-Tenant-Name");
 	const char *key = cs_http_header(req, "Cassiascale-Key");
-	size_t len = strlen(body);
 
-	if (name != NULL || key != NULL)
-		snprintf(body + len, size - len, " workspace=%s key=%s", name ? name : "-",
-			 key ? "passed-on" : "-");
+	if (name == NULL && key == NULL)
+		return "";
+	snprintf(text, sizeof(text), " workspace=%s key=%s", name ? name : "-",
+		 key ? "passed-on" : "-");
+	return text;
 }
 
 static void on_service_end(struct cs_timer *t, void *arg)
@@ -187,8 +189,8 @@
 	size_t len, size = bytes ? strtoull(bytes, NULL, 10) : 0;
 
 	s->running--;
-	snprintf(body, 256, "server=%s path=%s id=%s", s->id, cs_http_path(r->req), id ? id : "-");
-	add_workspace(r->req, body, sizeof(body));
+	snprintf(body, 512, "server=%s%s path=%s id=%s", s->id, workspace_text(r->req),
+		 cs_http_path(r->req), id ? id : "-");
 	len = strlen(body);
 	if (size > len && size <= sizeof(body)) {
 		memset(body + len, '.', size - len);
--- a/tests/unit/test-node-wire.c
+++ b/tests/unit/test-node-wire.c
@@ -15,7 +15,7 @@
 	cs_copy(report.name, sizeof(report.name), "lom-brescia-1");
 	report.boot = 1789507142034ULL;
 	report.seq = 7;
-	report.ready = report.store_fresh = true;
+	report.ready = report.store_fresh = report.keys_stale = true;
 	report.store_revision = 99;
 	report.n_services = 1;
 	report.services[0] = (struct cs_report_service){
@@ -128,6 +128,61 @@
 	msgpack_sbuffer_destroy(&later);
 }
 
+static struct cs_quota_ask ask;
+static struct cs_quota_reply reply;
+
+static void fill_quota(void)
+{
+	ask = (struct cs_quota_ask){.from = "a-1",
+				    .to = "b-2",
+				    .boot = 1789507142034ULL,
+				    .seq = 9,
+				    .sent_us = 5000000,
+				    .echo_us = 7000000,
+				    .echo_boot = 3,
+				    .held_us = 150000,
+				    .lent_slots = 3,
+				    .fleet = 1700,
+				    .rows = {{UINT64_MAX, 12, 0}, {1, 1, 0}},
+				    .n_rows = 2};
+	reply = (struct cs_quota_reply){.from = "b-2",
+					.to = "a-1",
+					.boot = 3,
+					.to_boot = 1789507142034ULL,
+					.seq = 9,
+					.asked_us = 5000000,
+					.now_us = 7200000,
+					.version = 12,
+					.age_us = UINT64_MAX,
+					.rows = {{UINT64_MAX, 11, 0}, {1, 0, 350}},
+					.n_rows = 2};
+}
+
+/* Guards against loans and grants that are lost or swapped, and cut-off messages that are read. */
+static void test_quota_round_trip(void)
+{
+	msgpack_sbuffer buf;
+	size_t len;
+
+	msgpack_sbuffer_init(&buf);
+	fill_quota();
+	wire_pack_ask(&buf, &ask);
+	g_assert_true(wire_unpack(buf.data, buf.size, &msg));
+	g_assert_cmpint(msg.kind, ==, WIRE_QUOTA_ASK);
+	g_assert_cmpmem(&msg.u.ask, sizeof(ask), &ask, sizeof(ask));
+	wire_pack_reply(&buf, &reply);
+	g_assert_true(wire_unpack(buf.data, buf.size, &msg));
+	g_assert_cmpint(msg.kind, ==, WIRE_QUOTA_REPLY);
+	g_assert_cmpmem(&msg.u.reply, sizeof(reply), &reply, sizeof(reply));
+	for (len = 0; len < buf.size; len++)
+		g_assert_false(wire_unpack(buf.data, len, &msg));
+	ask.n_rows = CS_QUOTA_ROWS_MAX;
+	wire_pack_ask(&buf, &ask);
+	g_assert_cmpuint(buf.size, <=, WIRE_DATAGRAM_MAX);
+	g_assert_true(wire_unpack(buf.data, buf.size, &msg));
+	msgpack_sbuffer_destroy(&buf);
+}
+
 /* Guards against sums over all instances that one report makes useless. */
 static void test_numbers_are_checked(void)
 {
@@ -226,6 +281,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/node/wire/numbers-are-checked", test_numbers_are_checked);
+	g_test_add_func("/wire/quota-round-trip", test_quota_round_trip);
 	g_test_add_func("/node/wire/later-version", test_later_version);
 	g_test_add_func("/node/wire/largest-digest", test_largest_digest_fits);
 	g_test_add_func("/node/wire/report-round-trip", test_report_round_trip);
--- a/tests/unit/test-quota.c
+++ b/tests/unit/test-quota.c
@@ -646,6 +646,190 @@
 	cs_workspace_table_destroy(t);
 }
 
+/* Two candidates for the keeper, and one that lends, for tests of single messages. */
+struct pair {
+	struct cs_workspace_table *table;
+	struct cs_workspace *ws;
+	struct cs_quota *lender, *keepers[2];
+	uint64_t now_us;
+};
+
+static void pair_init(struct pair *p)
+{
+	static const char *const names[] = {"k0", "k1"};
+	unsigned i;
+
+	p->table = cs_workspace_table_create();
+	p->ws = cs_workspace_add(p->table, "w");
+	p->ws->rate_per_s = p->ws->burst = 100;
+	p->now_us = 10 * CS_US_PER_S;
+	p->lender = cs_quota_create("s", 1, &bounds, p->now_us);
+	cs_quota_set_table(p->lender, p->table);
+	cs_quota_set_fleet(p->lender, 1);
+	for (i = 0; i < 2; i++) {
+		p->keepers[i] = cs_quota_create(names[i], 1, &bounds, p->now_us);
+		cs_quota_set_table(p->keepers[i], p->table);
+	}
+}
+
+static void pair_free(struct pair *p)
+{
+	cs_quota_destroy(p->lender);
+	cs_quota_destroy(p->keepers[0]);
+	cs_quota_destroy(p->keepers[1]);
+	cs_workspace_table_destroy(p->table);
+}
+
+static void pair_choose(struct pair *p, unsigned i)
+{
+	const char *name = i == 0 ? "k0" : "k1";
+	const struct cs_quota_zone own = {{{name, NULL}, {name, NULL}}};
+
+	cs_quota_set_keepers(p->lender, &own);
+}
+
+/*
+ * Sends what is due; replies of a silent keeper are lost. Returns the slots that were lent to
+ * keeper i in the last question to it.
+ */
+static unsigned pair_exchange(struct pair *p, unsigned i, int silent)
+{
+	struct cs_quota_reply reply;
+	struct cs_quota_ask ask;
+	unsigned to, lent = 0;
+
+	while (cs_quota_next_ask(p->lender, p->now_us, &ask)) {
+		to = (unsigned)atoi(ask.to + 1);
+		if (strcmp(ask.to, "s") == 0)
+			continue;
+		if (to == i)
+			lent = ask.lent_slots;
+		cs_quota_handle_ask(p->keepers[to], &ask, p->now_us, &reply);
+		if ((int)to != silent)
+			cs_quota_handle_reply(p->lender, &reply, p->now_us);
+	}
+	return lent;
+}
+
+/* Guards against a process that lends rights which its predecessor lent just before it ended. */
+static void test_start(void)
+{
+	struct pair p;
+	uint64_t start;
+
+	pair_init(&p);
+	start = p.now_us;
+	pair_choose(&p, 0);
+	for (; p.now_us < start + CS_QUOTA_LOAN_US; p.now_us += CS_QUOTA_ROUND_US)
+		g_assert_cmpuint(pair_exchange(&p, 0, -1), ==, 0);
+	g_assert_cmpuint(pair_exchange(&p, 0, -1), ==, 3);
+	pair_free(&p);
+}
+
+/* Lets the lender lend all of its rights to the first keeper. */
+static void lend_to_first(struct pair *p)
+{
+	unsigned i;
+
+	pair_choose(p, 0);
+	for (i = 0; i < 10; i++, p->now_us += CS_QUOTA_ROUND_US)
+		pair_exchange(p, 0, -1);
+	g_assert_cmpuint(pair_exchange(p, 0, -1), ==, 3);
+}
+
+/*
+ * Guards against a hand-over in which both keepers have the rights: the second one gets them when
+ * the first has confirmed that it gave them back, or when its loan is certain to have ended.
+ */
+static void test_hand_over(void)
+{
+	struct cs_quota_counts counts;
+	struct pair p;
+	uint64_t lent_us;
+
+	pair_init(&p);
+	lend_to_first(&p);
+	lent_us = p.now_us;
+	pair_choose(&p, 1);
+	p.now_us += CS_QUOTA_ROUND_US;
+	/* The return reaches the first keeper, whose reply is lost. */
+	g_assert_cmpuint(pair_exchange(&p, 1, 0), ==, 0);
+	cs_quota_counts(p.keepers[0], &counts);
+	g_assert_cmpuint(counts.loans, ==, 0);
+	for (p.now_us += CS_QUOTA_ROUND_US; p.now_us < lent_us + CS_QUOTA_LOAN_US;
+	     p.now_us += CS_QUOTA_ROUND_US)
+		g_assert_cmpuint(pair_exchange(&p, 1, 0), ==, 0);
+	g_assert_cmpuint(pair_exchange(&p, 1, 0), ==, 3);
+	pair_free(&p);
+	/* With the reply, the next round lends to the second one. */
+	pair_init(&p);
+	lend_to_first(&p);
+	pair_choose(&p, 1);
+	p.now_us += CS_QUOTA_ROUND_US;
+	pair_exchange(&p, 1, -1);
+	p.now_us += CS_QUOTA_ROUND_US;
+	g_assert_cmpuint(pair_exchange(&p, 1, -1), ==, 3);
+	pair_free(&p);
+}
+
+/* Guards against tokens that a keeper still grants after it gave back the rights that earned them. */
+static void test_return_takes_tokens(void)
+{
+	struct cs_quota_ask ask = {.from = "x", .to = "k0", .boot = 7, .seq = 1, .n_rows = 1};
+	struct cs_quota_reply reply;
+	struct pair p;
+
+	pair_init(&p);
+	lend_to_first(&p);
+	ask.rows[0] = (struct cs_quota_row){.id = p.ws->id, .tokens = 2};
+	cs_quota_handle_ask(p.keepers[0], &ask, p.now_us, &reply);
+	g_assert_cmpuint(reply.rows[0].tokens, ==, 2);
+	pair_choose(&p, 1);
+	p.now_us += CS_QUOTA_ROUND_US;
+	pair_exchange(&p, 1, -1);
+	ask.seq++;
+	cs_quota_handle_ask(p.keepers[0], &ask, p.now_us, &reply);
+	g_assert_cmpuint(reply.rows[0].tokens, ==, 0);
+	pair_free(&p);
+}
+
+/* Guards against a lender that is silent and whose rights its keeper still uses. */
+static void test_loan_ends(void)
+{
+	struct cs_quota_ask ask = {.from = "x", .to = "k0", .boot = 7, .seq = 1, .n_rows = 1};
+	struct cs_quota_reply reply;
+	struct pair p;
+
+	pair_init(&p);
+	lend_to_first(&p);
+	p.now_us += CS_QUOTA_LOAN_US;
+	ask.rows[0] = (struct cs_quota_row){.id = p.ws->id, .tokens = 2};
+	cs_quota_handle_ask(p.keepers[0], &ask, p.now_us, &reply);
+	g_assert_cmpuint(reply.rows[0].tokens, ==, 0);
+	pair_free(&p);
+}
+
+/* Guards against tokens that a paused instance spends when it wakes. */
+static void test_token_expires(void)
+{
+	enum cs_quota_verdict v;
+	unsigned room_ms, i;
+	uint64_t until;
+	struct pair p;
+
+	for (i = 0; i < 2; i++) {
+		pair_init(&p);
+		lend_to_first(&p);
+		v = cs_quota_take(p.lender, p.ws, p.now_us, &until, &room_ms);
+		g_assert_cmpint(v, ==, CS_QUOTA_PENDING);
+		pair_exchange(&p, 0, -1);
+		p.now_us += i == 0 ? 200 * CS_US_PER_MS : CS_US_PER_S;
+		v = cs_quota_retry(p.lender, p.ws, p.now_us, &until, &room_ms);
+		g_assert_cmpint(v, ==, i == 0 ? CS_QUOTA_ALLOWED : CS_QUOTA_PENDING);
+		pair_free(&p);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -654,5 +838,10 @@
 	g_test_add_func("/quota/random-series", test_random_series);
 	g_test_add_func("/quota/keeper-dies", test_keeper_dies);
 	g_test_add_func("/quota/paused", test_paused);
+	g_test_add_func("/quota/token-expires", test_token_expires);
+	g_test_add_func("/quota/start", test_start);
+	g_test_add_func("/quota/hand-over", test_hand_over);
+	g_test_add_func("/quota/return-takes-tokens", test_return_takes_tokens);
+	g_test_add_func("/quota/loan-ends", test_loan_ends);
 	return g_test_run();
 }
