--- a/lib/workspace/workspace.h
+++ b/lib/workspace/workspace.h
@@ -72,5 +72,6 @@
 
 #include "workspace/fair.h"
 #include "workspace/quota.h"
+#include "workspace/usage.h"
 
 #endif
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -88,7 +88,7 @@
 	struct node_stats *s = &n->stats;
 	const struct cs_document *doc = cs_steer_current_document(n->steer);
 	struct cs_quota_counts quota;
-	char *text;
+	char *text, *more, *whole;
 
 	*s->ready = node_ready(n);
 	*s->members = cs_steer_count_members(n->steer, cs_mono_us());
@@ -108,6 +108,13 @@
 		*s->key_age_ms = (int64_t)workspaces_key_age_ms(n);
 	}
 	text = cs_metrics_text(s->metrics);
+	more = workspaces_metrics(n);
+	if (more != NULL) {
+		whole = cs_xasprintf("%s%s", text, more);
+		free(text);
+		free(more);
+		text = whole;
+	}
 	cs_http_reply(req, 200, "text/plain; version=0.0.4", text, strlen(text));
 	free(text);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -81,6 +81,7 @@
 	char id[REQUEST_ID_SIZE]; /* its beginning, for logs */
 	char route[CS_NAME_MAX];
 	char workspace_name[CS_WORKSPACE_NAME_MAX]; /* "" if it has none */
+	uint64_t workspace; /* its id; 0: none */
 	uint64_t key_version; /* document by which its key was last checked */
 	enum token_state token;
 	uint64_t token_until_us, token_since_us; /* by cs_boottime_us */
@@ -306,6 +307,10 @@
 			 const struct cs_workspace **out);
 /* Takes a token, or begins to wait for one. False if the request was rejected. */
 bool workspaces_take_token(struct request *req, const struct cs_workspace *ws, unsigned budget_ms);
+/* Counts a request for the metrics of its workspace, if it has one. */
+void workspaces_count(const struct request *req, enum cs_usage_kind kind);
+/* Metrics of workspaces as text, or NULL without any; the caller frees it with free(). */
+char *workspaces_metrics(const struct node *n);
 /* The request ends. unused: nothing of it has run, so that another one may spend its token. */
 void workspaces_release(struct request *req, bool unused);
 /* True if the request may (still) be sent as far as its key is concerned. */
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -114,6 +114,8 @@
 	cs_timer_stop(&req->deadline_timer);
 	if (is_refusal(status)) {
 		(*n->stats.refused)++;
+		if (status == 503)
+			workspaces_count(req, CS_USAGE_REFUSED);
 		cs_event(n->events, CS_EVENT_IMPORTANT, "request.refused",
 			 "id=%s status=%u route=%s workspace=%s service=%s reason=%s waited_ms=%u "
 			 "sends=%u retry_after_ms=%u left_ms=%lld",
@@ -371,6 +373,10 @@
 		(*n->stats.ok)++;
 	if (!failed && late)
 		(*n->stats.late)++;
+	if (!failed)
+		workspaces_count(req, CS_USAGE_ANSWERED);
+	if (!failed && late)
+		workspaces_count(req, CS_USAGE_LATE);
 	cs_hist_add(n->stats.latency, took);
 	cs_event(n->events,
 		 failed || late || req->n_attempts > 1 ? CS_EVENT_IMPORTANT : CS_EVENT_SAMPLED,
--- a/src/node/workspaces.c
+++ b/src/node/workspaces.c
@@ -34,6 +34,7 @@
 	struct node *node;
 	struct cs_freshness fresh;
 	struct cs_quota *quota;
+	struct cs_usage *usage;
 	struct cs_timer ask_timer;
 	TAILQ_HEAD(, request) waiting; /* for a token */
 	bool stale_logged;
@@ -51,6 +52,7 @@
 	w->node = n;
 	w->quota = cs_quota_create(n->settings.instance, n->boot, &n->settings.quota,
 				   cs_boottime_us());
+	w->usage = cs_usage_create();
 	TAILQ_INIT(&w->waiting);
 	cs_rng_seed(&w->rng, cs_random_u64());
 	cs_timer_init(&w->ask_timer, on_ask_timer, w);
@@ -63,6 +65,7 @@
 		return;
 	cs_timer_stop(&w->ask_timer);
 	cs_quota_destroy(w->quota);
+	cs_usage_destroy(w->usage);
 	free(w);
 }
 
@@ -119,6 +122,18 @@
 	cs_quota_counts(n->workspaces->quota, out);
 }
 
+void workspaces_count(const struct request *req, enum cs_usage_kind kind)
+{
+	if (req->workspace != 0)
+		cs_usage_count(req->node->workspaces->usage, req->workspace, req->workspace_name,
+			       kind);
+}
+
+char *workspaces_metrics(const struct node *n)
+{
+	return current_table(n) != NULL ? cs_usage_metrics(n->workspaces->usage) : NULL;
+}
+
 /* Logs when requests with a key begin to be refused, or are served again. */
 static void log_stale_transition(struct workspaces *w)
 {
@@ -173,6 +188,7 @@
 		frontend_reject(req, 503, "workspace_unreadable", RETRY_ELSEWHERE_MS);
 		return false;
 	}
+	req->workspace = (*out)->id;
 	cs_copy(req->workspace_name, sizeof(req->workspace_name), (*out)->name);
 	req->key_version = cs_steer_current_document(n->steer)->version;
 	return true;
@@ -209,6 +225,7 @@
 		break;
 	}
 	(*req->node->stats.over_quota)++;
+	workspaces_count(req, CS_USAGE_OVER_QUOTA);
 	frontend_reject(req, 429, "quota", quota_retry_ms(w, budget_ms, room_ms));
 	return false;
 }
@@ -228,12 +245,12 @@
 	case TOKEN_NONE:
 		return;
 	case TOKEN_PENDING:
-		cs_quota_leave(w->quota, req->steer_state.workspace);
+		cs_quota_leave(w->quota, req->workspace);
 		end_wait(w, req);
 		return;
 	case TOKEN_HELD:
 		if (unused)
-			cs_quota_put_back(w->quota, req->steer_state.workspace, req->token_until_us,
+			cs_quota_put_back(w->quota, req->workspace, req->token_until_us,
 					  cs_boottime_us());
 		req->token = TOKEN_NONE;
 		return;
@@ -251,7 +268,7 @@
 static void decide_request(struct workspaces *w, struct request *req, uint64_t now)
 {
 	const struct cs_workspace_table *t = current_table(w->node);
-	uint64_t id = req->steer_state.workspace;
+	uint64_t id = req->workspace;
 	const struct cs_workspace *ws = t != NULL ? cs_workspace_by_id(t, id) : NULL;
 	enum cs_quota_verdict v = CS_QUOTA_ALLOWED;
 	unsigned room_ms = 0;
@@ -272,6 +289,7 @@
 		return;
 	}
 	(*w->node->stats.over_quota)++;
+	workspaces_count(req, CS_USAGE_OVER_QUOTA);
 	request_fail(req, 429, "quota", quota_retry_ms(w, left_ms(req), room_ms));
 }
 
@@ -290,14 +308,14 @@
 	const struct cs_document *doc = cs_steer_current_document(n->steer);
 	const struct cs_workspace *ws;
 
-	if (req->steer_state.workspace == 0 || doc->workspaces == NULL)
+	if (req->workspace == 0 || doc->workspaces == NULL)
 		return true;
 	if (workspaces_keys_stale(n))
 		return false;
 	if (doc->version == req->key_version)
 		return true;
 	ws = cs_workspace_by_key(doc->workspaces, cs_call_header(req->call, PLATFORM_H_KEY));
-	if (ws == NULL || ws->id != req->steer_state.workspace)
+	if (ws == NULL || ws->id != req->workspace)
 		return false;
 	req->key_version = doc->version;
 	return true;
--- a/tests/run/check.d/node-workspaces.sh
+++ b/tests/run/check.d/node-workspaces.sh
@@ -77,6 +77,7 @@
 explains() { "$build/bin/cassiactl" explain "$2" --logs "$dir/node1.log" --logs "$dir/node2.log" 2>&1 | grep -q "^cause: $1"; }
 id=x-key key 1 /safe/x key-a-9 >/dev/null
 sleep 0.6
+ok "the metrics count the workspace's requests" has "$(curl -sS "http://127.$run.1.1:9464/metrics")" 'cassia_node_workspace_requests_total.kind="answered",workspace="ws-a". [1-9]'
 ok "explain names an unknown key" explains key_unknown x-key
 ok "explain names keys that are out of date" explains keys_out_of_date x-old
 finish
--- a/tests/unit/test-quota.c
+++ b/tests/unit/test-quota.c
@@ -793,6 +793,37 @@
 	pair_free(&p);
 }
 
+/* The same when the rights come back: it begins with nothing, also for workspaces not asked for. */
+static void test_return_forgets_tokens(void)
+{
+	struct cs_quota_ask ask = {.from = "x", .to = "k0", .boot = 7, .seq = 1, .n_rows = 1};
+	struct cs_quota_reply reply;
+	unsigned touched, lent;
+	struct pair p;
+
+	for (touched = 0; touched < 2; touched++) {
+		pair_init(&p);
+		lend_to_first(&p);
+		ask.rows[0] = (struct cs_quota_row){.id = p.ws->id, .tokens = touched};
+		ask.seq++;
+		if (touched)
+			cs_quota_handle_ask(p.keepers[0], &ask, p.now_us, &reply);
+		pair_choose(&p, 1);
+		p.now_us += CS_QUOTA_ROUND_US;
+		pair_exchange(&p, 1, -1);
+		pair_choose(&p, 0);
+		do {
+			p.now_us += CS_QUOTA_ROUND_US;
+			lent = pair_exchange(&p, 0, -1);
+		} while (lent == 0);
+		ask.rows[0].tokens = 2;
+		ask.seq++;
+		cs_quota_handle_ask(p.keepers[0], &ask, p.now_us, &reply);
+		g_assert_cmpuint(reply.rows[0].tokens, ==, 0);
+		pair_free(&p);
+	}
+}
+
 /* Guards against a lender that is silent and whose rights its keeper still uses. */
 static void test_loan_ends(void)
 {
@@ -842,6 +873,7 @@
 	g_test_add_func("/quota/start", test_start);
 	g_test_add_func("/quota/hand-over", test_hand_over);
 	g_test_add_func("/quota/return-takes-tokens", test_return_takes_tokens);
+	g_test_add_func("/quota/return-forgets-tokens", test_return_forgets_tokens);
 	g_test_add_func("/quota/loan-ends", test_loan_ends);
 	return g_test_run();
 }
--- a/tests/unit/test-workspace.c
+++ b/tests/unit/test-workspace.c
@@ -278,6 +278,29 @@
 	cs_fair_destroy(f);
 }
 
+/* Guards against as many series as there are workspaces, and names that break the format. */
+static void test_usage(void)
+{
+	struct cs_usage *u = cs_usage_create();
+	unsigned i, k, rows = 0;
+	char name[32], *text, *p;
+
+	for (i = 1; i <= 100; i++) {
+		g_snprintf(name, sizeof(name), i == 100 ? "w\"\\%u" : "w%u", i);
+		for (k = 0; k < i; k++)
+			cs_usage_count(u, i, name, CS_USAGE_LATE);
+	}
+	text = cs_usage_metrics(u);
+	for (p = text; (p = strstr(p, "_total{")) != NULL; p++)
+		rows++;
+	g_assert_cmpuint(rows, ==, (CS_USAGE_TOP + 1) * CS_USAGE_KINDS);
+	g_assert_nonnull(strstr(text, "{kind=\"late\",workspace=\"w__100\"} 100\n"));
+	g_assert_nonnull(strstr(text, "{kind=\"late\",workspace=\"w85\"} 85\n"));
+	g_assert_nonnull(strstr(text, "{kind=\"late\",workspace=\"\"} 3570\n"));
+	free(text);
+	cs_usage_destroy(u);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -288,5 +311,6 @@
 	g_test_add_func("/workspace/freshness", test_freshness);
 	g_test_add_func("/workspace/hot", test_hot_workspace);
 	g_test_add_func("/workspace/alone", test_alone);
+	g_test_add_func("/workspace/usage", test_usage);
 	return g_test_run();
 }
