--- a/lib/steer/admission.c
+++ b/lib/steer/admission.c
@@ -121,7 +121,8 @@
 	if (req->workspace == 0)
 		return false;
 	level = fair_level(svc, req, now_us);
-	TAILQ_FOREACH_REVERSE(other, &svc->waiting, request_list, entry) {
+	TAILQ_FOREACH_REVERSE(other, &svc->waiting, request_list, entry)
+	{
 		if (other->until_us <= now_us || other->priority < req->priority ||
 		    fair_level(svc, other, now_us) <= level)
 			continue;
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -235,12 +235,21 @@
 	uint64_t leaving_us; /* since then */
 };
 
-/* steer.c */
+/* lookup.c */
+/* Service time that is assumed until a response was measured. */
+#define INITIAL_SERVICE_TIME_US (400 * CS_US_PER_MS)
 int steer_zone(const struct cs_steer *s, const char *name);
+/* Finds a service by name, or returns NULL. */
+struct cs_steer_service *steer_find_service(const struct cs_steer *s, const char *name);
 /* Finds a service by name, or creates it. */
 struct cs_steer_service *steer_service(struct cs_steer *s, const char *name);
 /* Moves an exponential moving average towards a sample. */
 void steer_update_average(double *v, double sample, double weight);
+/*
+ * First of n rows for the next report, of which max fit: each report begins where the one before
+ * ended.
+ */
+unsigned rotation_next(unsigned *position, unsigned n, unsigned max);
 
 /* limits.c */
 void window_add(struct counter_window *w, uint64_t now_us);
@@ -362,12 +371,6 @@
 /* Takes one of spill_tokens; false if none is left. */
 bool regions_take_spill(struct cs_steer_service *svc);
 
-/*
- * First of n rows for the next report, of which max fit: each report begins where the one before
- * ended.
- */
-unsigned rotation_next(unsigned *position, unsigned n, unsigned max);
-
 /* members.c */
 struct member *members_find(const struct cs_steer *s, const char *name);
 /* Frees instances that are neither listed nor alive, and updates the largest number seen. */
--- a/lib/steer/steer.c
+++ b/lib/steer/steer.c
@@ -4,8 +4,6 @@
 
 #include "steer/steer-int.h"
 
-/* Service time that is assumed until a response was measured. */
-#define INITIAL_SERVICE_TIME_US (400 * CS_US_PER_MS)
 /* Deadline of a request if neither the client nor the route sets one. */
 #define DEFAULT_DEADLINE_US (10 * CS_US_PER_S)
 /* Above the priorities of all routes. */
@@ -19,29 +17,6 @@
 	return reason_names[r];
 }
 
-unsigned rotation_next(unsigned *position, unsigned n, unsigned max)
-{
-	unsigned first = n > max ? *position % n : 0;
-
-	*position = first + max;
-	return first;
-}
-
-void steer_update_average(double *v, double sample, double weight)
-{
-	*v += (sample - *v) * weight;
-}
-
-int steer_zone(const struct cs_steer *s, const char *name)
-{
-	unsigned i;
-
-	for (i = 0; i < s->n_zones; i++)
-		if (strcmp(s->zones[i].name, name) == 0)
-			return (int)i;
-	return -1;
-}
-
 /* Index of a region, which is added if it is new. */
 static unsigned region_add(struct cs_steer *s, const char *name)
 {
@@ -120,35 +95,6 @@
 	s->leaving_us = now_us;
 }
 
-/* Finds a service by name, or returns NULL. */
-static struct cs_steer_service *find_service(const struct cs_steer *s, const char *name)
-{
-	struct cs_steer_service *svc;
-
-	TAILQ_FOREACH(svc, &s->services, entry)
-		if (strcmp(svc->name, name) == 0)
-			return svc;
-	return NULL;
-}
-
-struct cs_steer_service *steer_service(struct cs_steer *s, const char *name)
-{
-	struct cs_steer_service *svc = find_service(s, name);
-
-	if (svc != NULL)
-		return svc;
-	svc = cs_xcalloc(1, sizeof(*svc));
-	cs_copy(svc->name, sizeof(svc->name), name);
-	svc->name_hash = (uint32_t)cs_hash_str(name, 0);
-	svc->service_time_us = INITIAL_SERVICE_TIME_US;
-	svc->region_split.share[s->region] = 1;
-	svc->objects.clear_bits = OBJECT_BITS;
-	TAILQ_INIT(&svc->backends);
-	TAILQ_INIT(&svc->waiting);
-	TAILQ_INSERT_TAIL(&s->services, svc, entry);
-	return svc;
-}
-
 /* Service time of a route, which a route of the same name in a later document takes over. */
 struct known_time {
 	const char *route;
@@ -275,7 +221,7 @@
 	if (s->doc != NULL && req->version == s->doc->version &&
 	    s->routes[req->route].service_time_us > 0)
 		return s->routes[req->route].service_time_us;
-	svc = find_service(s, req->service);
+	svc = steer_find_service(s, req->service);
 	return svc != NULL ? svc->service_time_us : INITIAL_SERVICE_TIME_US;
 }
 
--- a/src/node/workspaces.c
+++ b/src/node/workspaces.c
@@ -14,6 +14,8 @@
 #define ASK_INTERVAL_US (50 * CS_US_PER_MS)
 /* The same while requests wait for a token. */
 #define ASK_WAITING_INTERVAL_US (10 * CS_US_PER_MS)
+/* Interval at which the quotas are told of changes of the fleet. */
+#define FLEET_INTERVAL_US (100 * CS_US_PER_MS)
 /* Rights to quotas are lent only while the instance knew its fleet within this time. */
 #define FLEET_MAX_AGE_US (5 * CS_US_PER_S)
 /*
@@ -38,7 +40,7 @@
 	struct cs_timer ask_timer;
 	TAILQ_HEAD(, request) waiting; /* for a token */
 	bool stale_logged;
-	uint64_t watcher_asked_us;
+	uint64_t watcher_asked_us, fleet_us;
 	struct cs_rng rng;
 };
 
@@ -264,42 +266,49 @@
 	return until > now ? (unsigned)((until - now) / CS_US_PER_MS) : 0;
 }
 
-/* Decides on a request that waits for a token; its workspace may have left the document. */
-static void decide_request(struct workspaces *w, struct request *req, uint64_t now)
+/*
+ * Decides on a request that waits for a token; its workspace may have left the document. False if
+ * it goes on waiting.
+ */
+static bool decide_request(struct workspaces *w, struct request *req, uint64_t now)
 {
 	const struct cs_workspace_table *t = current_table(w->node);
-	uint64_t id = req->workspace;
-	const struct cs_workspace *ws = t != NULL ? cs_workspace_by_id(t, id) : NULL;
+	const struct cs_workspace *ws = t != NULL ? cs_workspace_by_id(t, req->workspace) : NULL;
 	enum cs_quota_verdict v = CS_QUOTA_ALLOWED;
 	unsigned room_ms = 0;
 
 	if (ws != NULL)
 		v = cs_quota_retry(w->quota, ws, now, &req->token_until_us, &room_ms);
 	else
-		cs_quota_leave(w->quota, id);
+		cs_quota_leave(w->quota, req->workspace);
 	if (v == CS_QUOTA_PENDING && now - req->token_since_us < CS_QUOTA_WAIT_US)
-		return;
+		return false;
 	if (v == CS_QUOTA_PENDING)
-		cs_quota_leave(w->quota, id);
+		cs_quota_leave(w->quota, req->workspace);
 	end_wait(w, req);
 	if (v == CS_QUOTA_ALLOWED) {
 		if (ws != NULL && req->token_until_us > 0)
 			req->token = TOKEN_HELD;
 		request_token_decided(req);
-		return;
+		return true;
 	}
 	(*w->node->stats.over_quota)++;
 	workspaces_count(req, CS_USAGE_OVER_QUOTA);
 	request_fail(req, 429, "quota", quota_retry_ms(w, left_ms(req), room_ms));
+	return true;
 }
 
+/* Begins anew after each decision: the response may end other requests of the connection. */
 static void decide_waiting(struct workspaces *w)
 {
-	struct request *req, *next;
+	struct request *req;
 	uint64_t now = cs_boottime_us();
 
-	TAILQ_FOREACH_SAFE(req, &w->waiting, token_entry, next)
-		decide_request(w, req, now);
+	do
+		TAILQ_FOREACH(req, &w->waiting, token_entry)
+			if (decide_request(w, req, now))
+				break;
+	while (req != NULL);
 }
 
 bool workspaces_check(struct request *req)
@@ -329,16 +338,19 @@
 		request_fail(req, 401, "key_unknown", 0);
 }
 
-/* Tells the quotas which instances there are. */
+/* Tells the quotas which instances there are, now and then. */
 static void update_fleet(struct workspaces *w)
 {
 	static struct cs_quota_zone others[CS_QUOTA_ZONES_MAX];
 	struct node *n = w->node;
 	struct cs_quota_zone own;
-	uint64_t age_us = cs_freshness_age_us(&w->fresh, cs_boottime_us());
+	uint64_t now = cs_boottime_us(), age_us = cs_freshness_age_us(&w->fresh, now);
 	bool known = store_sync_is_loaded(n->store_sync) && age_us < FLEET_MAX_AGE_US;
 	unsigned zones;
 
+	if (now - w->fleet_us < FLEET_INTERVAL_US)
+		return;
+	w->fleet_us = now;
 	zones = cs_steer_quota_keepers(n->steer, cs_mono_us(), &own, others, CS_QUOTA_ZONES_MAX);
 	cs_quota_set_fleet(w->quota, known ? cs_steer_fleet_size(n->steer) : 0);
 	cs_quota_set_keepers(w->quota, &own);
