quotas: a question that was overtaken does not bring back a loan

A keeper forgot the sequence number of an instance's questions with its loan. A question that lent rights and arrived after the one that gave them back was then taken for a new loan, and two keepers had the rights for up to 0.7 s. The keeper now remembers for 2 s who asked. Shown by /quota/overtaken, which fails without that.

--- a/lib/workspace/quota-int.h
+++ b/lib/workspace/quota-int.h
@@ -43,7 +43,7 @@
 };
 RB_HEAD(entries, entry);
 
-/* Rights that an instance lent to this one. */
+/* An instance that asked this one, and the rights that it lent. */
 struct loan {
 	TAILQ_ENTRY(loan) list;
 	char name[CS_QUOTA_NAME_MAX];
@@ -51,7 +51,8 @@
 	double fraction; /* of the deployment's rights */
 	unsigned slots; /* bit mask */
 	uint64_t until_us;
-	bool ended; /* it is freed by keeper_sweep */
+	bool ended; /* it has lent nothing, or no more */
+	uint64_t heard_us; /* last question */
 };
 
 /* Rights of a slot that this instance lent. */
@@ -81,6 +82,7 @@
 	unsigned n_in_phase[PHASES];
 	/* As a keeper: rights of each slot, and their integral over time, in seconds. */
 	TAILQ_HEAD(, loan) loans;
+	unsigned n_loans; /* length of loans */
 	double held[CS_QUOTA_SLOTS], integral[CS_QUOTA_SLOTS];
 	double base[CS_QUOTA_SLOTS]; /* value from which a workspace without an entry accrues */
 	uint64_t advanced_us; /* time of integral */
@@ -115,8 +117,8 @@
 /* quota-keeper.c */
 /* Brings the integrals up to date and ends loans. */
 void keeper_advance(struct cs_quota *q, uint64_t now_us);
-/* Frees loans that have ended. */
-void keeper_sweep(struct cs_quota *q);
+/* Forgets instances that lend nothing and were not heard for a while. */
+void keeper_sweep(struct cs_quota *q, uint64_t now_us);
 void keeper_free(struct cs_quota *q);
 /* Before the state of a workspace is forgotten: it must not get more tokens by that. */
 void keeper_forget(struct cs_quota *q, const struct entry *e);
--- a/lib/workspace/quota-keeper.c
+++ b/lib/workspace/quota-keeper.c
@@ -20,6 +20,8 @@
 #define UNTOUCHED_KEEP_S 0.2
 /* room_ms of a keeper without rights. */
 #define NO_RIGHTS_ROOM_MS 200
+/* Instances that asked, or lent, are remembered for this time: longer than a loan lasts. */
+#define LOAN_MEMORY_US (2 * CS_US_PER_S)
 #define LOANS_MAX 512
 
 static bool loan_covers(const struct loan *l, unsigned slot)
@@ -65,14 +67,15 @@
 	q->counts.loans--;
 }
 
-void keeper_sweep(struct cs_quota *q)
+void keeper_sweep(struct cs_quota *q, uint64_t now_us)
 {
 	struct loan *l, *next;
 
 	TAILQ_FOREACH_SAFE(l, &q->loans, list, next) {
-		if (!l->ended)
+		if (!l->ended || now_us - l->heard_us < LOAN_MEMORY_US)
 			continue;
 		TAILQ_REMOVE(&q->loans, l, list);
+		q->n_loans--;
 		free(l);
 	}
 }
@@ -134,7 +137,7 @@
 	struct loan *l;
 
 	TAILQ_FOREACH(l, &q->loans, list)
-		if (!l->ended && l->boot == ask->boot && strcmp(l->name, ask->from) == 0)
+		if (l->boot == ask->boot && strcmp(l->name, ask->from) == 0)
 			return l;
 	return NULL;
 }
@@ -151,55 +154,78 @@
 	trim(q);
 }
 
-static void loan_add(struct cs_quota *q, const struct cs_quota_ask *ask, uint64_t until_us)
+/* Creates the record of an instance that asks, which has lent nothing; NULL if there are too many. */
+static struct loan *loan_create(struct cs_quota *q, const struct cs_quota_ask *ask)
 {
 	struct loan *l;
-	unsigned i;
 
-	if (q->counts.loans >= LOANS_MAX)
-		return;
+	if (q->n_loans >= LOANS_MAX)
+		return NULL;
 	l = cs_xcalloc(1, sizeof(*l));
 	cs_copy(l->name, sizeof(l->name), ask->from);
 	l->boot = ask->boot;
-	l->seq = ask->seq;
-	l->fraction = 1 / (ask->fleet * FLEET_MARGIN);
-	l->slots = ask->lent_slots;
-	l->until_us = until_us;
+	l->ended = true;
 	TAILQ_INSERT_TAIL(&q->loans, l, list);
+	q->n_loans++;
+	return l;
+}
+
+static void loan_begin(struct cs_quota *q, struct loan *l, unsigned slots, double fraction,
+		       uint64_t until_us)
+{
+	unsigned i;
+
+	l->ended = false;
+	l->slots = slots;
+	l->fraction = fraction;
+	l->until_us = until_us;
 	q->counts.loans++;
 	for (i = 0; i < CS_QUOTA_SLOTS; i++)
 		if (loan_covers(l, i))
 			q->held[i] += l->fraction;
 }
 
-/* Applies the loan in a question; the sender's latest word counts. */
+/*
+ * Time at which the loan in a question ends; 0 if it lends nothing or the age of the message is not
+ * known, as it does not repeat a time of this process.
+ */
+static uint64_t loan_end_us(const struct cs_quota *q, const struct cs_quota_ask *ask,
+			    uint64_t now_us)
+{
+	uint64_t until = ask->echo_us + ask->held_us + CS_QUOTA_LOAN_US - LOAN_MARGIN_US;
+
+	if (ask->lent_slots == 0 || ask->fleet == 0 || ask->echo_us == 0 ||
+	    ask->echo_boot != q->boot)
+		return 0;
+	return until > now_us && until <= now_us + CS_QUOTA_LOAN_US ? until : 0;
+}
+
+/*
+ * Applies the loan in a question. The sender's latest word counts: a question that was overtaken by
+ * a later one must not bring back rights which that one took away.
+ */
 static void handle_loan(struct cs_quota *q, const struct cs_quota_ask *ask, uint64_t now_us)
 {
+	double fraction = ask->fleet > 0 ? 1 / (ask->fleet * FLEET_MARGIN) : 0;
+	uint64_t until = loan_end_us(q, ask, now_us);
 	struct loan *l = find_loan(q, ask);
-	uint64_t until = 0;
-	bool same;
 
-	if (l != NULL && ask->seq <= l->seq)
-		return;
-	/* Without this process's own time the age of the message is not known. */
-	if (ask->lent_slots != 0 && ask->fleet > 0 && ask->echo_us > 0 && ask->echo_boot == q->boot)
-		until = ask->echo_us + ask->held_us + CS_QUOTA_LOAN_US - LOAN_MARGIN_US;
-	if (until <= now_us || until > now_us + CS_QUOTA_LOAN_US) {
-		if (l != NULL)
-			loan_return(q, l);
+	if (l == NULL)
+		l = loan_create(q, ask);
+	if (l == NULL || ask->seq <= l->seq)
 		return;
-	}
-	same = l != NULL && l->slots == ask->lent_slots &&
-	       fabs(l->fraction - 1 / (ask->fleet * FLEET_MARGIN)) < 1e-12;
-	if (same) {
-		l->seq = ask->seq;
+	l->seq = ask->seq;
+	l->heard_us = now_us;
+	if (until > 0 && !l->ended && l->slots == ask->lent_slots &&
+	    fabs(l->fraction - fraction) < 1e-12) {
 		if (until > l->until_us)
 			l->until_us = until;
 		return;
 	}
-	if (l != NULL)
+	if (!l->ended)
 		loan_return(q, l);
-	loan_add(q, ask, until);
+	if (until > 0)
+		loan_begin(q, l, ask->lent_slots, fraction, until);
 }
 
 static void grant(struct cs_quota *q, const struct cs_quota_row *want, struct cs_quota_row *out,
--- a/lib/workspace/quota.c
+++ b/lib/workspace/quota.c
@@ -33,7 +33,7 @@
 #define REPLY_TIMEOUT_US (450 * CS_US_PER_MS)
 /* A question counts as lost after this time. */
 #define ASK_TIMEOUT_US (100 * CS_US_PER_MS)
-/* Zones asked for a workspace, one after the other, before its requests are refused. */
+/* Other zones asked for a workspace before its requests are refused. */
 #define ZONES_TRIED_MAX 5
 /*
  * Requests over the quota are refused until a keeper has a token again by its own word, within
@@ -406,7 +406,7 @@
 	q->round_us = now_us;
 	memset(q->due, true, sizeof(q->due));
 	q->zone_offset++;
-	keeper_sweep(q);
+	keeper_sweep(q, now_us);
 	TAILQ_FOREACH_SAFE(e, &q->list, list, next) {
 		if (now_us - e->used_us > ENTRY_IDLE_US && e->waiting == 0) {
 			keeper_forget(q, e);
@@ -464,7 +464,7 @@
 	};
 	cs_copy(out->from, sizeof(out->from), q->instance);
 	cs_copy(out->to, sizeof(out->to), to);
-	/* The time of the first question without a reply decides whether the keeper replies. */
+	/* Before the first reply, the time since the first question counts. */
 	if (l->asked_us == 0)
 		l->received_us = now_us;
 	l->asked_us = now_us;
--- a/tests/unit/test-quota.c
+++ b/tests/unit/test-quota.c
@@ -824,6 +824,43 @@
 	}
 }
 
+/*
+ * Guards against rights that two keepers have since a question was overtaken by the one that gives
+ * them back.
+ */
+static void test_overtaken(void)
+{
+	struct cs_quota_ask lend, back;
+	struct cs_quota_counts counts;
+	struct cs_quota_reply reply;
+	unsigned first;
+	struct pair p;
+
+	for (first = 0; first < 2; first++) {
+		pair_init(&p);
+		pair_choose(&p, 0);
+		/* Either the keeper has a loan already, or it gets the first one. */
+		if (first == 0)
+			lend_to_first(&p);
+		else
+			for (; p.now_us < 10 * CS_US_PER_S + CS_QUOTA_LOAN_US;
+			     p.now_us += CS_QUOTA_ROUND_US)
+				pair_exchange(&p, 0, -1);
+		p.now_us += CS_QUOTA_ROUND_US;
+		g_assert_true(cs_quota_next_ask(p.lender, p.now_us, &lend));
+		g_assert_cmpuint(lend.lent_slots, ==, 3);
+		pair_choose(&p, 1);
+		g_assert_true(cs_quota_next_ask(p.lender, p.now_us, &back));
+		g_assert_cmpstr(back.to, ==, "k0");
+		g_assert_cmpuint(back.lent_slots, ==, 0);
+		cs_quota_handle_ask(p.keepers[0], &back, p.now_us, &reply);
+		cs_quota_handle_ask(p.keepers[0], &lend, p.now_us, &reply);
+		cs_quota_counts(p.keepers[0], &counts);
+		g_assert_cmpuint(counts.loans, ==, 0);
+		pair_free(&p);
+	}
+}
+
 /* Guards against a lender that is silent and whose rights its keeper still uses. */
 static void test_loan_ends(void)
 {
@@ -873,6 +910,7 @@
 	g_test_add_func("/quota/start", test_start);
 	g_test_add_func("/quota/hand-over", test_hand_over);
 	g_test_add_func("/quota/return-takes-tokens", test_return_takes_tokens);
+	g_test_add_func("/quota/overtaken", test_overtaken);
 	g_test_add_func("/quota/return-forgets-tokens", test_return_forgets_tokens);
 	g_test_add_func("/quota/loan-ends", test_loan_ends);
 	return g_test_run();
