--- a/lib/steer/admission.c
+++ b/lib/steer/admission.c
@@ -115,21 +115,20 @@
 static bool make_room(struct cs_steer_service *svc, const struct cs_steer_request *req,
 		      uint64_t now_us)
 {
-	struct cs_steer_request *other;
+	struct cs_steer_request *other, *oldest = NULL;
 	unsigned level;
 
 	if (req->workspace == 0)
 		return false;
 	level = fair_level(svc, req, now_us);
-	TAILQ_FOREACH_REVERSE(other, &svc->waiting, request_list, entry)
-	{
-		if (other->until_us <= now_us || other->priority < req->priority ||
-		    fair_level(svc, other, now_us) <= level)
-			continue;
-		other->until_us = now_us;
-		return true;
-	}
-	return false;
+	/* The newest is first. */
+	TAILQ_FOREACH(other, &svc->waiting, entry)
+		if (other->until_us > now_us && other->priority >= req->priority &&
+		    fair_level(svc, other, now_us) > level)
+			oldest = other;
+	if (oldest != NULL)
+		oldest->until_us = now_us;
+	return oldest != NULL;
 }
 
 static void decide_wait(struct cs_steer_service *svc, struct cs_steer_request *req,
