--- a/tests/unit/test-workspace.c
+++ b/tests/unit/test-workspace.c
@@ -55,6 +55,10 @@
 	doc = parse(",\"tenants\":[]", &msg);
 	g_assert_nonnull(doc->workspaces);
 	cs_document_destroy(doc);
+	doc = parse(",\"tenants\":null,\"x\":1", &msg);
+	g_assert_null(doc->workspaces);
+	cs_document_destroy(doc);
+	g_assert_null(parse(",\"tenants\":nul", &msg));
 	g_assert_null(parse(",\"tenants\":{}", &msg));
 }
 
