soak: a compaction does not give a withdrawn key back

The fault that compacts the store wrote a document which had the key again, while the record said that it was withdrawn; both seeds hold with the document that is in force at the moment.

--- a/tests/run/soak.sh
+++ b/tests/run/soak.sh
@@ -44,7 +44,8 @@
 JSON
 # Callers 1 and 2 send with keys of their own; that of the first one is withdrawn at times, the second one floods.
 steady_workspaces='{"name":"main","api-keys":["main"]},{"name":"flood","api-keys":["flood"],"rate-per-s":10,"burst":10}'
-workspaces="$steady_workspaces,{\"name\":\"moving\",\"api-keys\":[\"moving\"]}"
+moving_workspace='{"name":"moving","api-keys":["moving"]}'
+workspaces="$steady_workspaces,$moving_workspace"
 revoke_ms=3000
 quota_window_ms=2000
 quota_limit=53 # (10 * 2 + 10) * 1.1 + 20
@@ -56,19 +57,24 @@
 
 now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
 start_ms=$(now_ms)
-next_document() { document $((100 + ($(now_ms) - start_ms) / 10)); }
+# Writes a new document, without the key of the first caller while it is withdrawn.
+next_document() {
+	local workspaces=$steady_workspaces
+	[ -e "$dir/key-withdrawn" ] || workspaces="$workspaces,$moving_workspace"
+	document $((100 + ($(now_ms) - start_ms) / 10))
+}
 # Withdraws the key of the first caller, and writes it again some seconds later.
 withdraw() {
 	[ -e "$dir/key-withdrawn" ] && return
 	touch "$dir/key-withdrawn"
-	workspaces=$steady_workspaces next_document
+	next_document
 	echo "from $(now_ms)" >>"$dir/withdrawn"
 	later "$1" give_back
 }
 give_back() {
 	echo "to $(now_ms)" >>"$dir/withdrawn"
-	next_document
 	rm "$dir/key-withdrawn"
+	next_document
 }
 # caller K: sends unsafe requests in sequence, each four on one connection, and prints a line "ID STATUS MATCHES INSTANCE
 # SENT_MS DONE_MS SERVER LEAVES KEY" for each request; LEAVES is 1 if the response states that the server leaves.
