--- a/tests/run/soak.sh
+++ b/tests/run/soak.sh
@@ -179,7 +179,8 @@
 	14) n=$((RANDOM % 3 + 2)); limit $n $((RANDOM % 20 + 2)); later 1.$((RANDOM % 9)) limit $n '' ;;
 	17) link "from=servers&to=n$n&copies=1"; later 1.$((RANDOM % 9)) link 'copies=0' ;;
 	18) withdraw $((RANDOM % 4 + 4)).$((RANDOM % 9)) ;;
-	19) link "from=n$n&to=store&both=1&mode=hole"; later $((RANDOM % 3 + 4)).$((RANDOM % 9)) link 'mode=ok' ;;
+	# An instance is cut off from the store while the key is withdrawn, for longer than it may be honoured.
+	19) link "from=n$n&to=store&both=1&mode=hole"; withdraw 7.$((RANDOM % 9)); later $((RANDOM % 2 + 5)).$((RANDOM % 9)) link 'mode=ok' ;;
 	15 | 16) leave $((RANDOM % 5 + 4)).$((RANDOM % 9)) ;;
 	esac
 	sleep 0.$((RANDOM % 9))
