--- a/lib/workspace/quota.c
+++ b/lib/workspace/quota.c
@@ -656,11 +656,6 @@
 	       next_other_ask(q, now_us, out);
 }
 
-uint64_t cs_quota_next_due_us(const struct cs_quota *q)
-{
-	return q->round_us + CS_QUOTA_ROUND_US;
-}
-
 /* Applies a row of a reply; what is still missing is asked for elsewhere. */
 static void apply_grant(struct cs_quota *q, const struct cs_quota_row *row, uint64_t asked_us,
 			uint64_t now_us)
--- a/lib/workspace/quota.h
+++ b/lib/workspace/quota.h
@@ -117,8 +117,6 @@
 void cs_quota_ask_also(struct cs_quota *q, const char *name);
 /* Next question to send, which may be to this instance itself; false if none is due. */
 bool cs_quota_next_ask(struct cs_quota *q, uint64_t now_us, struct cs_quota_ask *out);
-/* Time at which cs_quota_next_ask is called next at the latest. */
-uint64_t cs_quota_next_due_us(const struct cs_quota *q);
 /* Acts as a keeper: accepts loans and grants tokens. */
 void cs_quota_handle_ask(struct cs_quota *q, const struct cs_quota_ask *ask, uint64_t now_us,
 			 struct cs_quota_reply *out);
--- a/lib/workspace/table.c
+++ b/lib/workspace/table.c
@@ -205,8 +205,3 @@
 
 	return i != 0 ? t->list[i - 1] : NULL;
 }
-
-const struct cs_workspace *cs_workspace_at(const struct cs_workspace_table *t, unsigned i)
-{
-	return t->list[i];
-}
--- a/lib/workspace/workspace.h
+++ b/lib/workspace/workspace.h
@@ -1,8 +1,8 @@
 /*
  * Workspaces, the customers of a deployment: their keys and settings, how old the knowledge of keys
- * is, quotas over all instances, and fair shares of the slots. Performs no I/O. Times are in us on
- * a clock that also runs while the machine is suspended (cs_boottime_us), unless a name has another
- * unit.
+ * is, quotas over all instances, and fair shares of the slots. Performs no I/O. Times are in us
+ * unless a name has another unit; those of keys and quotas are by a clock that also runs while the
+ * machine is suspended (cs_boottime_us).
  */
 #ifndef CS_WORKSPACE_H
 #define CS_WORKSPACE_H
@@ -47,9 +47,6 @@
 /* Workspace that holds the key, or NULL; in a time that depends on the key's length alone. */
 const struct cs_workspace *cs_workspace_by_key(const struct cs_workspace_table *t, const char *key);
 const struct cs_workspace *cs_workspace_by_id(const struct cs_workspace_table *t, uint64_t id);
-/* Workspace number i, in the order in which they were added. */
-const struct cs_workspace *cs_workspace_at(const struct cs_workspace_table *t, unsigned i);
-
 /* When the document in force was last known to be the newest one. */
 struct cs_freshness {
 	uint64_t confirmed_us; /* 0: never */
--- a/src/node/quota-wire.c
+++ b/src/node/quota-wire.c
@@ -9,14 +9,6 @@
 #define ASK_ROW_ELEMENTS 2
 #define REPLY_ROW_ELEMENTS 3
 
-static void pack_name(msgpack_packer *pk, const char *s)
-{
-	size_t n = strlen(s);
-
-	msgpack_pack_str(pk, n);
-	msgpack_pack_str_body(pk, s, n);
-}
-
 static void pack_begin(msgpack_packer *pk, msgpack_sbuffer *buf, unsigned elements,
 		       enum wire_kind kind, const char *from, const char *to)
 {
@@ -25,8 +17,8 @@
 	msgpack_pack_array(pk, elements);
 	msgpack_pack_int(pk, WIRE_FORMAT_VERSION);
 	msgpack_pack_int(pk, kind);
-	pack_name(pk, from);
-	pack_name(pk, to);
+	wire_pack_text(pk, from);
+	wire_pack_text(pk, to);
 }
 
 void wire_pack_ask(msgpack_sbuffer *buf, const struct cs_quota_ask *ask)
@@ -82,12 +74,8 @@
 
 static bool read_name(const msgpack_object *o, char *out)
 {
-	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size == 0 ||
-	    o->via.str.size >= CS_QUOTA_NAME_MAX)
-		return false;
-	memcpy(out, o->via.str.ptr, o->via.str.size);
-	out[o->via.str.size] = '\0';
-	return strlen(out) == o->via.str.size;
+	return wire_unpack_text(o, out, CS_QUOTA_NAME_MAX) && *out != '\0' &&
+	       strlen(out) == o->via.str.size;
 }
 
 /* Reads a flat array of rows with the given number of elements each. */
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -30,7 +30,7 @@
 #define FLAG_STORE_FRESH 8
 #define FLAG_KEYS_STALE 16
 
-static void pack_text(msgpack_packer *pk, const char *s)
+void wire_pack_text(msgpack_packer *pk, const char *s)
 {
 	size_t n = strlen(s);
 
@@ -136,7 +136,7 @@
 	msgpack_pack_array(&pk, REPORT_ELEMENTS);
 	msgpack_pack_int(&pk, WIRE_FORMAT_VERSION);
 	msgpack_pack_int(&pk, r->is_digest ? WIRE_DIGEST : WIRE_REPORT);
-	pack_text(&pk, r->name);
+	wire_pack_text(&pk, r->name);
 	msgpack_pack_uint64(&pk, r->boot);
 	msgpack_pack_uint64(&pk, r->seq);
 	msgpack_pack_int(&pk, report_flags(r));
@@ -177,7 +177,7 @@
 	msgpack_pack_array(&pk, CHANGES_ELEMENTS);
 	msgpack_pack_int(&pk, WIRE_FORMAT_VERSION);
 	msgpack_pack_int(&pk, c->entries_only ? WIRE_ENTRIES : WIRE_CHANGES);
-	pack_text(&pk, c->name);
+	wire_pack_text(&pk, c->name);
 	msgpack_pack_uint64(&pk, c->from);
 	msgpack_pack_uint64(&pk, c->to);
 	msgpack_pack_uint32(&pk, c->removal_grace_ms);
@@ -185,7 +185,7 @@
 	msgpack_pack_array(&pk, c->n * CHANGE_ELEMENTS);
 	for (i = 0; i < c->n; i++) {
 		ch = &c->change[i];
-		pack_text(&pk, ch->key);
+		wire_pack_text(&pk, ch->key);
 		msgpack_pack_uint64(&pk, ch->revision);
 		if (ch->omitted) {
 			msgpack_pack_true(&pk);
@@ -215,7 +215,7 @@
 	return o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size <= max_size;
 }
 
-static bool unpack_text(const msgpack_object *o, char *out, size_t size)
+bool wire_unpack_text(const msgpack_object *o, char *out, size_t size)
 {
 	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size)
 		return false;
@@ -372,7 +372,7 @@
 static bool unpack_report(const msgpack_object *v, uint32_t n, struct cs_steer_report *r)
 {
 	memset(r, 0, sizeof(*r));
-	if (n < REPORT_ELEMENTS_MIN || !unpack_text(&v[2], r->name, sizeof(r->name)) ||
+	if (n < REPORT_ELEMENTS_MIN || !wire_unpack_text(&v[2], r->name, sizeof(r->name)) ||
 	    !is_uint(&v[3], UINT64_MAX) || !is_uint(&v[4], UINT64_MAX) || !is_uint(&v[5], 255) ||
 	    !is_uint(&v[6], UINT64_MAX) || !is_uint(&v[10], CS_ROOTS_PER_ZONE - 1))
 		return false;
@@ -393,7 +393,7 @@
 
 static bool unpack_change(const msgpack_object *v, struct wire_change *ch)
 {
-	if (!unpack_text(&v[0], ch->key, sizeof(ch->key)) || !is_uint(&v[1], UINT64_MAX))
+	if (!wire_unpack_text(&v[0], ch->key, sizeof(ch->key)) || !is_uint(&v[1], UINT64_MAX))
 		return false;
 	ch->revision = v[1].via.u64;
 	ch->value = NULL;
@@ -413,7 +413,7 @@
 	uint32_t i;
 
 	memset(c, 0, sizeof(*c));
-	if (n < CHANGES_ELEMENTS || !unpack_text(&v[2], c->name, sizeof(c->name)) ||
+	if (n < CHANGES_ELEMENTS || !wire_unpack_text(&v[2], c->name, sizeof(c->name)) ||
 	    !is_uint(&v[3], UINT64_MAX) || !is_uint(&v[4], UINT64_MAX) ||
 	    !is_uint(&v[5], UINT32_MAX) || !is_uint(&v[6], CS_ROOTS_PER_ZONE - 1) ||
 	    !is_array_within(&v[7], CHANGE_ELEMENTS * WIRE_CHANGES_MAX) ||
--- a/src/node/wire.h
+++ b/src/node/wire.h
@@ -55,6 +55,9 @@
 		struct cs_quota_reply reply;
 	} u;
 };
+/* Text as an element of a message; false if it is none or does not fit into size bytes. */
+void wire_pack_text(msgpack_packer *pk, const char *s);
+bool wire_unpack_text(const msgpack_object *o, char *out, size_t size);
 /* quota-wire.c: reads the elements of a message of that kind. */
 bool wire_unpack_ask(const msgpack_object *v, uint32_t n, struct cs_quota_ask *out);
 bool wire_unpack_reply(const msgpack_object *v, uint32_t n, struct cs_quota_reply *out);
--- a/tests/unit/test-keepers.c
+++ b/tests/unit/test-keepers.c
@@ -132,6 +132,59 @@
 	cs_steer_destroy(s);
 }
 
+/* Decides on a new request of a workspace. */
+static enum cs_steer_verdict decide(struct cs_steer *s, struct cs_steer_request *req, uint64_t id,
+				    uint64_t now, struct cs_steer_decision *out)
+{
+	struct cs_workspace ws = {.id = id, .name = (char *)"w"};
+
+	memset(req, 0, sizeof(*req));
+	fixture_init_request(s, req, 0, now);
+	cs_steer_request_set_workspace(s, req, &ws, now);
+	cs_steer_decide(s, req, now, out);
+	return out->verdict;
+}
+
+/*
+ * Guards against a workspace that fills a service's queue while another one got nothing of it: the
+ * other goes first although it waits longer, and the full queue makes room for it.
+ */
+static void test_queue(void)
+{
+	static struct cs_steer_request running[32], hot[64], waits, late;
+	struct cs_steer *s = fixture_create("i1", "a1", 0);
+	struct cs_steer_decision d;
+	struct cs_backend *server[32];
+	unsigned i, queued = 0;
+	uint64_t now = MS(10);
+
+	cs_steer_set_document(s, fixture_document(1, NULL), 0);
+	fixture_add_server(s, "s-a", "a1", 0, 0);
+	fixture_add_server(s, "s-b", "a1", 0, 0);
+	fixture_add_server(s, "s-c", "a1", 0, 0);
+	fixture_run(s, &now, MS(200));
+	/* The servers are filled by two workspaces in turn. */
+	for (i = 0; i < 32 && decide(s, &running[i], 3 + i % 2, now, &d) == CS_STEER_SEND; i++)
+		server[i] = d.u.send.backend;
+	g_assert_cmpuint(i, >=, 8);
+	g_assert_cmpuint(i, <, 32);
+	cs_steer_dequeue(s, &running[i]);
+	now += MS(120);
+	g_assert_cmpint(decide(s, &waits, 2, now, &d), ==, CS_STEER_WAIT);
+	for (i = 0; i < 64; i++)
+		queued += decide(s, &hot[i], 3, now + 1 + i, &d) == CS_STEER_WAIT;
+	g_assert_cmpuint(queued, <, 64);
+	now += MS(1);
+	g_assert_cmpint(decide(s, &late, 5, now, &d), ==, CS_STEER_WAIT);
+	cs_steer_attempt_ended(s, &running[0], server[0], CS_STEER_OK, MS(50), now);
+	g_assert_true(cs_steer_next_waiting(s, now, &d) == &late);
+	g_assert_cmpint(d.verdict, ==, CS_STEER_SEND);
+	cs_steer_attempt_ended(s, &running[1], server[1], CS_STEER_OK, MS(50), now);
+	g_assert_true(cs_steer_next_waiting(s, now, &d) == &waits);
+	g_assert_cmpint(d.verdict, ==, CS_STEER_SEND);
+	cs_steer_destroy(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -139,6 +192,7 @@
 	g_test_add_func("/keepers/dead", test_dead_keeper);
 	g_test_add_func("/keepers/nearest-first", test_nearest_first);
 	g_test_add_func("/workspace/homes", test_homes);
+	g_test_add_func("/workspace/queue", test_queue);
 	g_test_add_func("/workspace/stale-not-offered", test_stale_is_not_offered);
 	return g_test_run();
 }
