node: server.entry logs started and sequence

The log did not show which process wrote an entry, nor in which order, so that an entry that the store carried out late could not be told from a current one.

--- a/src/node/store-sync.c
+++ b/src/node/store-sync.c
@@ -249,9 +249,9 @@
 	}
 	cs_event(n->events, CS_EVENT_IMPORTANT, "server.entry",
 		 "server=%s service=%s zone=%s address=%s:%u slots=%u draining=%d cold_ms=%u "
-		 "revision=%llu",
+		 "started=%lld sequence=%lld revision=%llu",
 		 id, e.service, e.zone, e.addr, e.port, e.slots, e.draining, e.cold_ms,
-		 (unsigned long long)it->revision);
+		 (long long)e.started_ms, (long long)e.sequence, (unsigned long long)it->revision);
 	if (!cs_steer_update_server(n->steer, &e, now))
 		cs_event(n->events, CS_EVENT_IMPORTANT, "server.old_entry",
 			 "server=%s revision=%llu", id, (unsigned long long)it->revision);
