steer: an older entry of a server's process does not replace a newer one

Cause: the store may carry out a write seconds after it was made. An entry with sequence 41, carried out 2.6 s after that with sequence 44, took back that the server drains. Start time and sequence were compared only while a restored store was read. server.entry shows it: sequence=44 revision=120, then sequence=41 revision=121.

Every entry is compared now. An older one is held, the known one stays in force until the server writes again; what the store still has after 6 s is believed, so that a wrong sequence does not shut a server out.

--- /dev/null
+++ b/lib/steer/entries.c
@@ -0,0 +1,66 @@
+/*
+ * Which entry of a server is the newest. The store may carry out a write seconds after the server
+ * made it, and a restored store has former entries, so that entries do not arrive in the order in
+ * which they were written. The start time orders the processes of a server, the sequence the
+ * entries of one process. An older entry is held while the known one stays in force. A server that
+ * runs replaces it with its next write, and the entry of one that is gone is removed; an older
+ * entry that still stands after the hold is believed, so that a wrong start time or sequence does
+ * not shut out all entries that follow.
+ */
+#include "steer/steer-int.h"
+
+/* Entries of servers that are gone are removed within this time, and live servers write theirs. */
+#define HOLD_US (6 * CS_US_PER_S)
+
+/* Below 0 if e was written before the entry in force, 0 if it is that one or the order is unknown. */
+static int compare_age(const struct cs_server_entry *e, const struct cs_server_entry *known)
+{
+	if (e->started_ms == 0 || e->started_ms != known->started_ms)
+		return 0;
+	if (e->sequence == known->sequence)
+		return 0;
+	return e->sequence < known->sequence ? -1 : 1;
+}
+
+bool entry_is_older(const struct cs_steer *s, const struct cs_backend *b,
+		    const struct cs_server_entry *e)
+{
+	bool in_restored_store = s->restored && s->full_read && e->started_ms != 0;
+	int age = compare_age(e, &b->info);
+
+	if (in_restored_store && e->started_ms < b->info.started_ms)
+		return true;
+	/* The server may have left since the copy was made. */
+	if (in_restored_store && age == 0 && e->started_ms == b->info.started_ms)
+		return !b->listed;
+	return age < 0;
+}
+
+void entry_hold(struct cs_backend *b, const struct cs_server_entry *e, uint64_t now_us)
+{
+	if (b->held_until_us == 0)
+		b->held_until_us = now_us + HOLD_US;
+	b->held = *e;
+	b->held_us = now_us;
+}
+
+void entry_end_hold(struct cs_backend *b)
+{
+	b->held_until_us = 0;
+}
+
+bool entry_take_held(const struct cs_steer *s, struct cs_backend *b, struct cs_server_entry *out,
+		     uint64_t now_us)
+{
+	unsigned age_ms = (unsigned)((now_us - b->held_us) / CS_US_PER_MS);
+
+	if (b->held_until_us == 0 || now_us < b->held_until_us)
+		return false;
+	/* Without the store, servers cannot replace entries. */
+	if (now_us < s->entries_doubtful_until_us)
+		return false;
+	b->held_until_us = 0;
+	*out = b->held;
+	out->cold_ms = out->cold_ms > age_ms ? out->cold_ms - age_ms : 0;
+	return true;
+}
--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -10,8 +10,6 @@
 #define ENTRY_MAX_AGE_US (5 * CS_US_PER_S)
 /* An entry that was removed is in copies of the store that are at most this old. */
 #define COPY_MAX_AGE_US (30 * CS_US_PER_S)
-/* In a store that was restored, entries of servers that are gone expire within this time. */
-#define RETURNED_HOLD_US (6 * CS_US_PER_S)
 /* A relative change of usable slots beyond this counts as a loss or gain of servers. */
 #define CAPACITY_CHANGE_MIN 0.02
 
@@ -137,35 +135,29 @@
 	       now_us - s->taken_back_us[b->zone] < cold_us + ENTRY_MAX_AGE_US;
 }
 
-/* True for an entry in a restored store that is no newer than what is known of the server. */
-static bool is_old_entry(const struct cs_steer *s, const struct cs_backend *b,
-			 const struct cs_server_entry *e)
+/* Puts an entry in force. */
+static void apply_entry(struct cs_steer *s, struct cs_backend *b, const struct cs_server_entry *e,
+			uint64_t now_us)
 {
-	if (!s->restored || !s->full_read || e->started_ms == 0)
-		return false;
-	if (e->started_ms != b->info.started_ms)
-		return e->started_ms < b->info.started_ms;
-	return e->sequence <= b->info.sequence;
-}
+	unsigned zone = (unsigned)steer_zone(s, e->zone);
 
-/*
- * The server may have left since the copy was made. One that was removed is used again when it has
- * written its entry, or when the entry outlasts the lease of a server that is gone. Returns false
- * until then.
- */
-static bool hold_old_entry(struct cs_backend *b, uint64_t now_us)
-{
-	b->in_full_read = true;
-	if (!b->listed && b->held_until_us == 0)
-		b->held_until_us = now_us + RETURNED_HOLD_US;
-	return b->listed;
+	if (b->info.started_ms != e->started_ms)
+		backend_new_process(s, b, now_us);
+	if (strcmp(b->service->name, e->service) != 0)
+		backend_set_service(s, b, e->service);
+	b->info = *e;
+	b->zone = zone;
+	b->region = s->zone_region[zone];
+	b->listed = b->in_full_read = true;
+	entry_end_hold(b);
+	cold_apply_entry(s, b, now_us);
 }
 
 bool cs_steer_update_server(struct cs_steer *s, const struct cs_server_entry *e, uint64_t now_us)
 {
 	struct cs_backend *b = find_backend(s, e->id);
-	bool created = b == NULL;
 	int zone = steer_zone(s, e->zone);
+	bool created = b == NULL;
 
 	/* A server in a zone that the settings do not list has no region. */
 	if (zone < 0) {
@@ -173,19 +165,14 @@
 			cs_steer_remove_server(s, e->id, 0, now_us);
 		return true;
 	}
-	if (b != NULL && is_old_entry(s, b, e))
-		return hold_old_entry(b, now_us);
-	if (b == NULL)
+	if (b != NULL && entry_is_older(s, b, e)) {
+		b->in_full_read = true;
+		entry_hold(b, e, now_us);
+		return false;
+	}
+	if (created)
 		b = backend_create(s, e, (unsigned)zone);
-	else if (b->info.started_ms != e->started_ms)
-		backend_new_process(s, b, now_us);
-	if (strcmp(b->service->name, e->service) != 0)
-		backend_set_service(s, b, e->service);
-	b->info = *e;
-	b->zone = (unsigned)zone;
-	b->region = s->zone_region[zone];
-	b->listed = b->in_full_read = true;
-	b->held_until_us = 0;
+	apply_entry(s, b, e, now_us);
 	/* A new entry comes from the server itself and replaces the health check. */
 	if (entry_may_omit_cold(s, b, now_us)) {
 		if (created)
@@ -193,7 +180,6 @@
 	} else if (!s->evacuated[zone]) {
 		b->needs_probe = false;
 	}
-	cold_apply_entry(s, b, now_us);
 	return true;
 }
 
@@ -211,7 +197,7 @@
 
 	if (b == NULL)
 		return;
-	b->held_until_us = 0;
+	entry_end_hold(b);
 	/* A running grace period is not extended. */
 	if (b->listed || removal_grace_us == 0)
 		backend_unlist(b, removal_grace_us, now_us);
@@ -234,7 +220,7 @@
 	RB_FOREACH(b, backend_ids, &s->ids) {
 		if (b->in_full_read)
 			continue;
-		b->held_until_us = 0;
+		entry_end_hold(b);
 		if (b->listed)
 			backend_unlist(b, removal_grace_us, now_us);
 	}
@@ -384,12 +370,11 @@
 void servers_sweep(struct cs_steer *s, uint64_t now_us)
 {
 	struct cs_backend *b, *next;
+	struct cs_server_entry held;
 
 	RB_FOREACH_SAFE(b, backend_ids, &s->ids, next) {
-		if (b->held_until_us > 0 && now_us >= b->held_until_us) {
-			b->listed = true;
-			b->held_until_us = 0;
-		}
+		if (entry_take_held(s, b, &held, now_us))
+			apply_entry(s, b, &held, now_us);
 		/*
 		 * Another instance had uninterrupted contact with the store, so the entry did
 		 * expire: end the grace period.
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -45,8 +45,10 @@
 	bool in_full_read; /* seen in the full read in progress */
 	uint64_t usable_until_us; /* end of the grace period, if not listed */
 	uint64_t unlisted_us; /* when its entry was removed, if not listed */
-	/* Not listed, but a restored store has an old entry of it: when it is believed; 0: no. */
+	/* An entry older than info that the store has: when it is believed; 0: there is none. */
 	uint64_t held_until_us;
+	uint64_t held_us; /* when it arrived */
+	struct cs_server_entry held;
 	uint64_t process_since_us; /* when its current process became known */
 	/* The process that stated in a response that it leaves. */
 	bool leaving;
@@ -393,6 +395,18 @@
 /* Sort key of an instance in the order of its zone; higher comes first. */
 uint64_t member_rank_weight(uint32_t name_hash);
 
+/* entries.c */
+/* True if the server wrote the entry before the one in force, which it must not replace. */
+bool entry_is_older(const struct cs_steer *s, const struct cs_backend *b,
+		    const struct cs_server_entry *e);
+/* Remembers that the store has an older entry. */
+void entry_hold(struct cs_backend *b, const struct cs_server_entry *e, uint64_t now_us);
+/* A newer entry or the removal of the entry replaced the one that is held, if any. */
+void entry_end_hold(struct cs_backend *b);
+/* True if an entry was held and is to be believed now: returns it in out, and ends the hold. */
+bool entry_take_held(const struct cs_steer *s, struct cs_backend *b, struct cs_server_entry *out,
+		     uint64_t now_us);
+
 /* cold.c */
 /* Applies what a server's new entry says. */
 void cold_apply_entry(struct cs_steer *s, struct cs_backend *b, uint64_t now_us);
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -73,7 +73,10 @@
 
 struct cs_backend;
 
-/* Adds or updates a server. Returns false if its entry is old and not believed for now. */
+/*
+ * Adds or updates a server. Returns false if the server wrote a newer entry that is known: the
+ * older one is believed when the store still has it 6 s later.
+ */
 bool cs_steer_update_server(struct cs_steer *s, const struct cs_server_entry *e, uint64_t now_us);
 /*
  * The server's entry was removed, or expired during a store outage: the server stays usable for
@@ -90,8 +93,8 @@
 /* Sets the lowest revision of the store's present state; instances below it do not have that. */
 void cs_steer_set_first_revision(struct cs_steer *s, uint64_t revision);
 /*
- * The store was restored from a copy. Until the end of the next full read, entries older than those
- * known here are not believed.
+ * The store was restored from a copy. Until the end of the next full read, entries of servers that
+ * were removed are as old as the last known ones, too.
  */
 void cs_steer_store_restored(struct cs_steer *s);
 /* Starts or ends the evacuation of a zone, during which nothing is sent to its servers. */
--- /dev/null
+++ b/tests/unit/test-entry-order.c
@@ -0,0 +1,226 @@
+/* Entries of one server that do not arrive in the order in which it wrote them
+ * (lib/steer/entries.c). */
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/unit/steer-fixture.h"
+
+/* Longer than an older entry is held. */
+#define HOLD_US MS(6500)
+
+static struct cs_steer_request req;
+
+/* An entry of the server s1 that is ready and warm. */
+static struct cs_server_entry make_entry(int64_t started_ms, int64_t sequence)
+{
+	return (struct cs_server_entry){.port = 80,
+					.slots = 4,
+					.started_ms = started_ms,
+					.sequence = sequence,
+					.addr = "127.0.0.1",
+					.id = "s1",
+					.service = "s",
+					.zone = "a1"};
+}
+
+static bool write_ready(struct cs_steer *s, int64_t started_ms, int64_t sequence, uint64_t now)
+{
+	struct cs_server_entry e = make_entry(started_ms, sequence);
+
+	return cs_steer_update_server(s, &e, now);
+}
+
+static bool write_draining(struct cs_steer *s, int64_t started_ms, int64_t sequence, uint64_t now)
+{
+	struct cs_server_entry e = make_entry(started_ms, sequence);
+
+	e.draining = true;
+	return cs_steer_update_server(s, &e, now);
+}
+
+static struct cs_steer *create(uint64_t now)
+{
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+
+	cs_steer_set_document(s, fixture_document(1, "ra"), now);
+	return s;
+}
+
+static bool is_used(struct cs_steer *s, uint64_t now)
+{
+	struct cs_steer_decision d;
+
+	cs_steer_tick(s, now);
+	fixture_init_request(s, &req, 1, now);
+	cs_steer_decide(s, &req, now, &d);
+	if (d.verdict != CS_STEER_SEND) {
+		cs_steer_dequeue(s, &req);
+		return false;
+	}
+	cs_steer_attempt_ended(s, &req, d.u.send.backend, CS_STEER_OK, MS(100), now);
+	return true;
+}
+
+/* Guards against a write that the store carries out late and that takes back that a server drains. */
+static void test_late_write(void)
+{
+	uint64_t now = MS(100000);
+	struct cs_steer *s = create(now);
+
+	g_assert_true(write_ready(s, 2000, 40, now));
+	g_assert_true(is_used(s, now));
+	g_assert_true(write_draining(s, 2000, 44, now));
+	g_assert_false(write_ready(s, 2000, 41, now + MS(2600)));
+	g_assert_false(is_used(s, now + MS(2600)));
+	/* Its end, 3 s after its report. */
+	cs_steer_remove_server(s, "s1", 0, now + MS(3000));
+	now += MS(3000);
+	fixture_run(s, &now, now + HOLD_US);
+	g_assert_false(is_used(s, now));
+	cs_steer_destroy(s);
+}
+
+/* Guards against the late write of a server that was removed meanwhile. */
+static void test_late_write_after_removal(void)
+{
+	uint64_t now = MS(100000);
+	struct cs_steer *s = create(now);
+
+	write_ready(s, 2000, 40, now);
+	write_draining(s, 2000, 44, now);
+	cs_steer_remove_server(s, "s1", 0, now + MS(3000));
+	now += MS(5000);
+	g_assert_false(write_ready(s, 2000, 41, now));
+	g_assert_false(is_used(s, now));
+	/* Until it expires. */
+	fixture_run(s, &now, now + MS(4500));
+	g_assert_false(is_used(s, now));
+	cs_steer_remove_server(s, "s1", 0, now);
+	fixture_run(s, &now, now + HOLD_US);
+	g_assert_false(is_used(s, now));
+	cs_steer_destroy(s);
+}
+
+/* Guards against an entry with a wrong sequence that shuts out all that the server writes. */
+static void test_huge_sequence(void)
+{
+	uint64_t now = MS(100000), end;
+	struct cs_steer *s = create(now);
+	int64_t sequence = 50;
+
+	write_draining(s, 2000, INT64_MAX, now);
+	g_assert_false(is_used(s, now));
+	/* The writes of the server do not prolong the hold. */
+	for (end = now + HOLD_US; now < end; now += MS(1500)) {
+		write_ready(s, 2000, sequence++, now);
+		cs_steer_tick(s, now);
+	}
+	g_assert_true(is_used(s, now));
+	g_assert_true(write_draining(s, 2000, sequence, now));
+	g_assert_false(is_used(s, now));
+	cs_steer_destroy(s);
+}
+
+/* Guards against an entry that is believed because its server could not replace it. */
+static void test_store_silent(void)
+{
+	uint64_t now = MS(100000), end;
+	struct cs_steer *s = create(now);
+
+	write_ready(s, 2000, 40, now);
+	write_draining(s, 2000, 44, now);
+	g_assert_false(write_ready(s, 2000, 41, now));
+	for (end = now + MS(9000); now < end; now += MS(50)) {
+		cs_steer_set_store_contact(s, false, now);
+		cs_steer_tick(s, now);
+	}
+	g_assert_false(is_used(s, now));
+	cs_steer_set_store_contact(s, true, now);
+	now += MS(1500);
+	g_assert_false(is_used(s, now));
+	write_draining(s, 2000, 50, now);
+	fixture_run(s, &now, now + HOLD_US);
+	g_assert_false(is_used(s, now));
+	cs_steer_destroy(s);
+}
+
+/* Guards against an older entry that is believed after a full read has shown that it was replaced. */
+static void test_replaced_unseen(void)
+{
+	uint64_t now = MS(100000);
+	struct cs_steer *s = create(now);
+
+	write_ready(s, 2000, 40, now);
+	write_draining(s, 2000, 44, now);
+	g_assert_false(write_ready(s, 2000, 41, now));
+	cs_steer_full_read_begin(s);
+	g_assert_true(write_draining(s, 2000, 44, now));
+	cs_steer_full_read_end(s, MS(2000), now);
+	fixture_run(s, &now, now + HOLD_US);
+	g_assert_false(is_used(s, now));
+	cs_steer_destroy(s);
+}
+
+/* Guards against entries without a start time that are refused: their order is not known. */
+static void test_unknown_start(void)
+{
+	uint64_t now = MS(100000);
+	struct cs_steer *s = create(now);
+
+	write_ready(s, 0, 40, now);
+	g_assert_true(write_draining(s, 0, 1, now));
+	g_assert_false(is_used(s, now));
+	cs_steer_destroy(s);
+}
+
+#define ENTRIES 12
+
+/*
+ * Guards against any order and any repeats in which an older entry takes back what a newer one
+ * said: what is believed is always the newest of those that have arrived.
+ */
+static void test_random_order(void)
+{
+	const char *first = g_getenv("SEED");
+	uint32_t seed = first != NULL ? (uint32_t)atoi(first) : 1, end = seed + 300;
+	struct cs_server_entry e[ENTRIES];
+	unsigned i, k, newest;
+	struct cs_steer *s;
+	struct cs_rng rng;
+	uint64_t now;
+
+	for (; seed < end; seed++) {
+		cs_rng_seed(&rng, seed);
+		now = MS(100000);
+		s = create(now);
+		for (i = 0; i < ENTRIES; i++) {
+			e[i] = make_entry(2000, 1 + i);
+			e[i].draining = cs_rng_below(&rng, 2);
+		}
+		newest = cs_rng_below(&rng, ENTRIES);
+		cs_steer_update_server(s, &e[newest], now);
+		/* All arrive within the time for which the store may carry out a write late. */
+		for (i = 0; i < 3 * ENTRIES; i++) {
+			k = cs_rng_below(&rng, ENTRIES);
+			now += MS(cs_rng_below(&rng, 160));
+			g_assert_cmpint(cs_steer_update_server(s, &e[k], now), ==, k >= newest);
+			newest = k > newest ? k : newest;
+			if (is_used(s, now) == e[newest].draining)
+				g_error("seed %u: entry %u is not believed", seed, newest);
+		}
+		cs_steer_destroy(s);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/entry-order/late-write", test_late_write);
+	g_test_add_func("/entry-order/late-write-after-removal", test_late_write_after_removal);
+	g_test_add_func("/entry-order/huge-sequence", test_huge_sequence);
+	g_test_add_func("/entry-order/store-silent", test_store_silent);
+	g_test_add_func("/entry-order/replaced-unseen", test_replaced_unseen);
+	g_test_add_func("/entry-order/unknown-start", test_unknown_start);
+	g_test_add_func("/entry-order/random-order", test_random_order);
+	return g_test_run();
+}
