steer: an entry of a former process does not replace that of its successor

Cause: any other start time was taken for that of a new process. The last write of a killed process, carried out after its successor had registered, replaced the successor's entry and what it said of being cold. server.entry shows started=...539831 sequence=1, then started=...472986 sequence=41.

Entries of processes are ordered by their start time as those of one process are by their sequence. As the clock of a server may go back, an entry with a lower start time has the server checked at once, and is believed when the store still has it after 6 s.

--- a/lib/steer/entries.c
+++ b/lib/steer/entries.c
@@ -15,29 +15,34 @@
 /* Below 0 if e was written before the entry in force, 0 if it is that one or the order is unknown. */
 static int compare_age(const struct cs_server_entry *e, const struct cs_server_entry *known)
 {
-	if (e->started_ms == 0 || e->started_ms != known->started_ms)
+	if (e->started_ms == 0 || known->started_ms == 0)
 		return 0;
-	if (e->sequence == known->sequence)
-		return 0;
-	return e->sequence < known->sequence ? -1 : 1;
+	if (e->started_ms != known->started_ms)
+		return e->started_ms < known->started_ms ? -1 : 1;
+	if (e->sequence != known->sequence)
+		return e->sequence < known->sequence ? -1 : 1;
+	return 0;
 }
 
 bool entry_is_older(const struct cs_steer *s, const struct cs_backend *b,
 		    const struct cs_server_entry *e)
 {
-	bool in_restored_store = s->restored && s->full_read && e->started_ms != 0;
 	int age = compare_age(e, &b->info);
 
-	if (in_restored_store && e->started_ms < b->info.started_ms)
-		return true;
-	/* The server may have left since the copy was made. */
-	if (in_restored_store && age == 0 && e->started_ms == b->info.started_ms)
+	/* In a restored store, it may be older than the removal of the server. */
+	if (age == 0 && s->restored && s->full_read && e->started_ms != 0)
 		return !b->listed;
 	return age < 0;
 }
 
 void entry_hold(struct cs_backend *b, const struct cs_server_entry *e, uint64_t now_us)
 {
+	/*
+	 * Of another process: if the clock of the server has gone back, that is the present one,
+	 * and may be cold. A health check tells.
+	 */
+	if (b->listed && e->started_ms != b->info.started_ms)
+		backend_require_probe(b, now_us);
 	if (b->held_until_us == 0)
 		b->held_until_us = now_us + HOLD_US;
 	b->held = *e;
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -399,7 +399,7 @@
 /* True if the server wrote the entry before the one in force, which it must not replace. */
 bool entry_is_older(const struct cs_steer *s, const struct cs_backend *b,
 		    const struct cs_server_entry *e);
-/* Remembers that the store has an older entry. */
+/* Remembers that the store has an older entry. If another process wrote it, the server is checked. */
 void entry_hold(struct cs_backend *b, const struct cs_server_entry *e, uint64_t now_us);
 /* A newer entry or the removal of the entry replaced the one that is held, if any. */
 void entry_end_hold(struct cs_backend *b);
--- a/tests/unit/test-entry-order.c
+++ b/tests/unit/test-entry-order.c
@@ -173,6 +173,76 @@
 	cs_steer_destroy(s);
 }
 
+/* Completes the health checks that are due; cold_ms: what the server's responses state. */
+static unsigned complete_checks(struct cs_steer *s, unsigned cold_ms, uint64_t now)
+{
+	struct cs_backend *b;
+	unsigned n = 0;
+
+	for (; (b = cs_steer_next_probe(s, now)) != NULL; n++)
+		cs_steer_probe_done(s, b, true, cold_ms, now);
+	return n;
+}
+
+static bool write_cold(struct cs_steer *s, int64_t started_ms, int64_t sequence, unsigned cold_ms,
+		       uint64_t now)
+{
+	struct cs_server_entry e = make_entry(started_ms, sequence);
+
+	e.cold_ms = cold_ms;
+	return cs_steer_update_server(s, &e, now);
+}
+
+/* Guards against the last write of a process that was killed, which hides that the next is cold. */
+static void test_former_process(void)
+{
+	uint64_t now = MS(100000);
+	struct cs_steer *s = create(now);
+
+	write_ready(s, 2000, 40, now);
+	g_assert_true(write_cold(s, 3000, 1, 3000, now));
+	g_assert_cmpuint(cs_steer_count_cold(s, now), ==, 1);
+	now += MS(600);
+	g_assert_false(write_ready(s, 2000, 41, now));
+	g_assert_cmpuint(cs_steer_count_cold(s, now), ==, 1);
+	complete_checks(s, 2400, now);
+	g_assert_true(write_cold(s, 3000, 2, 1500, now + MS(900)));
+	g_assert_cmpuint(cs_steer_count_cold(s, now + MS(1000)), ==, 1);
+	cs_steer_destroy(s);
+}
+
+/*
+ * Guards against a server that starts again on a clock which has gone back and is lost for good, or
+ * gets requests at the full rate while it is cold.
+ */
+static void test_clock_went_back(void)
+{
+	uint64_t now = MS(100000), end;
+	struct cs_steer *s = create(now);
+	struct cs_server_entry e;
+	int64_t sequence = 1;
+
+	write_ready(s, 9000, 40, now);
+	g_assert_true(is_used(s, now));
+	g_assert_false(write_cold(s, 2000, sequence++, 3000, now));
+	g_assert_false(is_used(s, now));
+	g_assert_cmpuint(complete_checks(s, 3000, now), ==, 1);
+	g_assert_cmpuint(cs_steer_count_cold(s, now), ==, 1);
+	for (end = now + HOLD_US; now < end; now += MS(1500)) {
+		write_ready(s, 2000, sequence++, now);
+		complete_checks(s, 0, now);
+		cs_steer_tick(s, now);
+	}
+	complete_checks(s, 0, now);
+	g_assert_true(is_used(s, now));
+	/* The new process is the known one now. */
+	e = make_entry(2000, sequence);
+	e.draining = true;
+	g_assert_true(cs_steer_update_server(s, &e, now));
+	g_assert_false(is_used(s, now));
+	cs_steer_destroy(s);
+}
+
 #define ENTRIES 12
 
 /*
@@ -194,7 +264,8 @@
 		now = MS(100000);
 		s = create(now);
 		for (i = 0; i < ENTRIES; i++) {
-			e[i] = make_entry(2000, 1 + i);
+			/* Of two processes. */
+			e[i] = make_entry(i < ENTRIES / 2 ? 2000 : 3000, 1 + i % (ENTRIES / 2));
 			e[i].draining = cs_rng_below(&rng, 2);
 		}
 		newest = cs_rng_below(&rng, ENTRIES);
@@ -205,6 +276,7 @@
 			now += MS(cs_rng_below(&rng, 160));
 			g_assert_cmpint(cs_steer_update_server(s, &e[k], now), ==, k >= newest);
 			newest = k > newest ? k : newest;
+			complete_checks(s, 0, now);
 			if (is_used(s, now) == e[newest].draining)
 				g_error("seed %u: entry %u is not believed", seed, newest);
 		}
@@ -221,6 +293,8 @@
 	g_test_add_func("/entry-order/store-silent", test_store_silent);
 	g_test_add_func("/entry-order/replaced-unseen", test_replaced_unseen);
 	g_test_add_func("/entry-order/unknown-start", test_unknown_start);
+	g_test_add_func("/entry-order/former-process", test_former_process);
+	g_test_add_func("/entry-order/clock-went-back", test_clock_went_back);
 	g_test_add_func("/entry-order/random-order", test_random_order);
 	return g_test_run();
 }
