steer: a starting instance checks servers that its first read calls cold

While what it read first is in doubt, an instance checks such a server; the result of a check is reported.

--- a/lib/steer/verify.c
+++ b/lib/steer/verify.c
@@ -34,13 +34,19 @@
 		b->unverified = !s->first_read_done;
 }
 
-static bool is_due(const struct cs_steer *s, const struct cs_backend *b, uint64_t now_us)
+static bool is_doubtful(const struct cs_steer *s, const struct cs_backend *b, uint64_t now_us)
 {
-	if (!b->unverified || s->verify_until_us == 0 || limits_is_cold(b, now_us))
+	if (!b->unverified || s->verify_until_us == 0)
 		return false;
 	return now_us < s->verify_until_us || now_us < s->entries_doubtful_until_us;
 }
 
+/* A server that is known to be cold gets few requests anyway. */
+static bool is_due(const struct cs_steer *s, const struct cs_backend *b, uint64_t now_us)
+{
+	return is_doubtful(s, b, now_us) && !limits_is_cold(b, now_us);
+}
+
 bool verify_request(const struct cs_steer *s, struct cs_backend *b, uint64_t now_us)
 {
 	if (!is_due(s, b, now_us))
@@ -58,8 +64,13 @@
 
 bool verify_check_is_wanted(const struct cs_steer *s, const struct cs_backend *b, uint64_t now_us)
 {
-	return b->check_requested_us > 0 && is_due(s, b, now_us) &&
-	       backend_in_service(s, b, now_us);
+	if (!is_doubtful(s, b, now_us) || !backend_in_service(s, b, now_us))
+		return false;
+	/*
+	 * Instances that do not reach the store may not know of a server that its entry calls cold.
+	 * An entry of a full read may be old and is not reported to them, the result of a check is.
+	 */
+	return b->check_requested_us > 0 || limits_is_cold(b, now_us);
 }
 
 uint64_t verify_wait_until(uint64_t now_us)
--- a/tests/unit/test-verify.c
+++ b/tests/unit/test-verify.c
@@ -97,6 +97,33 @@
 	cs_steer_destroy(s);
 }
 
+/*
+ * Guards against a cold server that nobody reports: an instance that starts reads it in an entry,
+ * which is no news, while the others do not reach the store.
+ */
+static void test_cold_entry(void)
+{
+	static struct cs_steer_report r;
+	uint64_t now = MS(100000);
+	struct cs_steer *s = fixture_create("i1", "a1", now);
+	struct cs_backend *b;
+
+	cs_steer_set_document(s, fixture_document(1, "ra"), now);
+	cs_steer_full_read_begin(s);
+	add_servers(s, now);
+	fixture_add_server(s, "s9", "a1", 3000, now);
+	cs_steer_full_read_end(s, 0, now);
+	b = cs_steer_next_probe(s, now);
+	g_assert_nonnull(b);
+	g_assert_cmpstr(cs_backend_id(b), ==, "s9");
+	cs_steer_probe_done(s, b, true, 1500, now + MS(2));
+	g_assert_null(cs_steer_next_probe(s, now + MS(1000)));
+	cs_steer_build_report(s, &r, now + MS(2));
+	g_assert_cmpuint(r.n_cold, ==, 1);
+	g_assert_cmpuint(r.cold[0].cold_ms, ==, 1500);
+	cs_steer_destroy(s);
+}
+
 /*
  * Guards against requests that go to the servers checked so far, which do not have their objects in
  * the cache: each must reach the server that it would have reached without checks.
@@ -282,6 +309,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/verify/first-request", test_first_request);
 	g_test_add_func("/verify/cold", test_cold);
+	g_test_add_func("/verify/cold-entry", test_cold_entry);
 	g_test_add_func("/verify/same-server", test_same_server);
 	g_test_add_func("/verify/others-pass", test_others_pass);
 	g_test_add_func("/verify/slow-check", test_slow_check);
