steer: a key written late is no message from its instance

Cause: a key counted as a message from its instance, and the key of a former process replaced what was known of the present one.

Clients are sent to instances whose process was heard, by a report or a digest. A key with a lower boot time is set aside until the known process has been silent for 2 s.

--- a/lib/steer/members.c
+++ b/lib/steer/members.c
@@ -55,12 +55,31 @@
 static void member_reset(struct member *m)
 {
 	m->last_seen_us = m->last_message_us = m->report_received_us = 0;
-	m->store_fresh = false;
+	m->heard = m->store_fresh = false;
 	m->report_seq = m->digest_seq = m->last_seq = 0;
 	free(m->report);
 	m->report = NULL;
 }
 
+static void mark_seen(struct cs_steer *s, struct member *m, uint64_t now_us)
+{
+	m->last_seen_us = now_us;
+	if (m->zone == s->zone)
+		s->zone_last_seen_us = now_us;
+}
+
+static void apply_key(struct cs_steer *s, struct member *m, const struct cs_steer_member *info)
+{
+	unsigned zone = (unsigned)steer_zone(s, info->zone);
+
+	if (m->info.boot != info->boot)
+		member_reset(m);
+	m->info = *info;
+	m->zone = zone;
+	m->region = s->zone_region[zone];
+	m->has_former = false;
+}
+
 void cs_steer_update_member(struct cs_steer *s, const struct cs_steer_member *info, uint64_t now_us)
 {
 	int zone = steer_zone(s, info->zone);
@@ -74,18 +93,25 @@
 		m->name_hash = (uint32_t)cs_hash_str(info->name, 0);
 		TAILQ_INSERT_TAIL(&s->members, m, entry);
 		s->n_members++;
-	} else if (s->restored && info->boot < m->info.boot) {
-		return;
-	} else if (m->info.boot != info->boot) {
-		member_reset(m);
 	}
-	m->info = *info;
-	m->zone = (unsigned)zone;
-	m->region = s->zone_region[zone];
 	m->listed = true;
-	/* A new entry in the store counts as a message from the instance. */
+	/*
+	 * The store may have carried out the write late, or was restored from a copy. The process
+	 * that is known goes on for as long as it is heard.
+	 */
+	if (info->boot < m->info.boot) {
+		m->has_former = true;
+		m->former = *info;
+		return;
+	}
+	apply_key(s, m, info);
+	/*
+	 * Until the process is heard: that it may be alive counts where two instances must not do
+	 * the same. Clients are not sent to it, as it may have ended before the store wrote its
+	 * key.
+	 */
 	if (m->last_seen_us == 0 && info->ready)
-		member_mark_alive(s, m, now_us);
+		mark_seen(s, m, now_us);
 }
 
 void cs_steer_unlist_member(struct cs_steer *s, const char *name, uint64_t now_us)
@@ -98,9 +124,8 @@
 
 void member_mark_alive(struct cs_steer *s, struct member *m, uint64_t now_us)
 {
-	m->last_seen_us = now_us;
-	if (m->zone == s->zone)
-		s->zone_last_seen_us = now_us;
+	m->heard = true;
+	mark_seen(s, m, now_us);
 }
 
 bool member_accept_message(struct cs_steer *s, struct member *m, const struct cs_steer_report *r,
@@ -156,9 +181,14 @@
 {
 	struct member *m, *next;
 
-	TAILQ_FOREACH_SAFE(m, &s->members, entry, next)
+	TAILQ_FOREACH_SAFE(m, &s->members, entry, next) {
+		/* The clock of its machine may have gone back: then the key is that of the present
+		 * one. */
+		if (m->has_former && now_us - m->last_seen_us >= ALIVE_TIMEOUT_US)
+			apply_key(s, m, &m->former);
 		if (!m->listed && now_us - m->last_seen_us > UNLISTED_TIMEOUT_US)
 			member_free(s, m);
+	}
 	if (s->n_members + 1 > s->max_members_seen)
 		s->max_members_seen = s->n_members + 1;
 }
@@ -265,7 +295,7 @@
 
 static bool is_offered(const struct cs_steer *s, const struct member *m, uint64_t now_us)
 {
-	return m->info.ready && !m->info.leaving && !m->info.keys_stale && m->last_seen_us > 0 &&
+	return m->info.ready && !m->info.leaving && !m->info.keys_stale && m->heard &&
 	       now_us - m->last_seen_us < s->opts.bounds.member_silence_ms * CS_US_PER_MS;
 }
 
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -180,7 +180,12 @@
 	uint32_t name_hash; /* low half of the hash of its name */
 	unsigned zone, region;
 	bool listed;
-	uint64_t last_seen_us; /* last message from it or digest that lists it; 0: never */
+	/* A message from the process arrived, or a digest that lists it. */
+	bool heard;
+	/* The store has the key of a process that started earlier than the known one. */
+	bool has_former;
+	struct cs_steer_member former; /* what that key says */
+	uint64_t last_seen_us; /* the same, or when its key was read; 0: never */
 	uint64_t last_message_us; /* last message from the instance itself */
 	bool store_fresh; /* by its last message */
 	uint64_t store_revision;
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -402,7 +402,10 @@
 	struct cs_report_cold cold[CS_REPORT_COLD_MAX];
 	unsigned n_cold;
 };
-/* Adds or updates an instance that is listed in the store, or removes its listing. */
+/*
+ * Adds or updates an instance that is listed in the store, or removes its listing. The key of a
+ * process that started before the known one takes effect when that has been silent for 2 s.
+ */
 void cs_steer_update_member(struct cs_steer *s, const struct cs_steer_member *info,
 			    uint64_t now_us);
 void cs_steer_unlist_member(struct cs_steer *s, const char *name, uint64_t now_us);
