registration: an instance writes its key again when that of a former process replaced it

Instances that start later did not find the instance, and the others sent their reports to the former address.

The instance watches its own key. It writes the key again when the store has one with a lower boot time or none; the key of a later process is left alone.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -259,6 +259,11 @@
 void registration_destroy(struct registration *r);
 /* Writes the key again with a new lease, after the store was restored from a copy. */
 void registration_repeat(struct registration *r);
+/*
+ * The instance's own key was removed (in is NULL) or has another value. If that of a former process
+ * replaced it, carried out late by the store, the key is written again; that of a later one stays.
+ */
+void registration_key_changed(struct registration *r, const struct platform_instance *in);
 /* Revokes the lease, which removes the key. */
 void registration_withdraw(struct registration *r);
 
--- a/src/node/registration.c
+++ b/src/node/registration.c
@@ -30,6 +30,7 @@
 	enum registration_state state;
 	uint64_t lease;
 	uint64_t era; /* of the store, when it granted the lease */
+	bool key_replaced; /* since the last write of the key began */
 	struct platform_call *call;
 	struct cs_timer call_timer;
 };
@@ -88,6 +89,7 @@
 	case REGISTRATION_NO_KEY:
 		platform_key_instance(n->settings.instance, key, sizeof(key));
 		value = format_own_entry(n);
+		r->key_replaced = false;
 		r->call = platform_put(n->store, key, value, strlen(value), r->lease, on_put, r);
 		free(value);
 		break;
@@ -134,6 +136,21 @@
 	cs_timer_start(r->node->timers, &r->call_timer, cs_random_u64() % REPEAT_SPREAD_US);
 }
 
+void registration_key_changed(struct registration *r, const struct platform_instance *in)
+{
+	if (in != NULL && in->member.boot >= r->node->boot)
+		return;
+	r->key_replaced = true;
+	if (r->state != REGISTRATION_LISTED)
+		return;
+	cs_event(r->node->events, CS_EVENT_IMPORTANT, "instance.key_replaced", "boot=%llu",
+		 in != NULL ? (unsigned long long)in->member.boot : 0ULL);
+	platform_cancel(r->call);
+	r->call = NULL;
+	r->state = REGISTRATION_NO_KEY;
+	cs_timer_start(r->node->timers, &r->call_timer, 0);
+}
+
 static void on_put(const struct platform_response *resp, void *arg)
 {
 	struct registration *r = arg;
@@ -145,6 +162,8 @@
 	}
 	switch (resp->status) {
 	case PLATFORM_OK:
+		if (r->key_replaced)
+			break;
 		r->state = REGISTRATION_LISTED;
 		cs_timer_start(r->node->timers, &r->call_timer, RENEW_INTERVAL_US);
 		return;
--- a/src/node/store-sync.c
+++ b/src/node/store-sync.c
@@ -270,14 +270,26 @@
 	cs_steer_set_evacuated(n->steer, zone, on, now);
 }
 
+static void apply_own_key(struct node *n, const struct platform_item *it)
+{
+	struct platform_instance in;
+
+	if (it->value == NULL)
+		registration_key_changed(n->registration, NULL);
+	else if (platform_instance_parse(it->value, it->len, &in))
+		registration_key_changed(n->registration, &in);
+}
+
 static void apply_instance(struct store_sync *ss, const char *name, const struct platform_item *it,
 			   uint64_t now)
 {
 	struct node *n = ss->node;
 	struct platform_instance in;
 
-	if (strcmp(name, n->settings.instance) == 0)
+	if (strcmp(name, n->settings.instance) == 0) {
+		apply_own_key(n, it);
 		return;
+	}
 	if (it->value == NULL) {
 		cs_event(n->events, CS_EVENT_IMPORTANT, "instance.unlisted", "name=%s", name);
 		cs_steer_unlist_member(n->steer, name, now);
