steer: a Retry-After that a new process stated before its first entry is kept

If a connection to the server failed and the request was sent after that, the response came from the new process, and its Retry-After stays.

/steer/retry-after/before-first-entry fails before.

--- a/lib/steer/outcome.c
+++ b/lib/steer/outcome.c
@@ -92,6 +92,7 @@
 		break;
 	case CS_STEER_UNSENT:
 		req->n_sent--;
+		b->unreachable_us = now_us;
 		backoff(b, BACKOFF_UNSENT_US, now_us);
 		backend_require_probe(b, now_us);
 		break;
--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -100,16 +100,28 @@
 	free(b);
 }
 
+/*
+ * True if the process whose first entry arrives now has stated the Retry-After: the former one had
+ * ended when the request was sent.
+ */
+static bool retry_after_is_of_new_process(const struct cs_backend *b)
+{
+	return b->unreachable_us > b->process_since_us &&
+	       b->retry_after_sent_us >= b->unreachable_us;
+}
+
 /* A new process with a known id: statistics of the previous one do not apply. */
 static void backend_new_process(struct cs_steer *s, struct cs_backend *b, uint64_t now_us)
 {
+	if (!retry_after_is_of_new_process(b))
+		b->retry_after_us = 0;
 	b->process_since_us = now_us;
 	server_limit_reset(s, b);
 	b->limit_logged_per_s = 0;
 	b->latency_ratio = 1;
 	b->error_rate = 0;
 	b->load_us = 0;
-	b->backoff_until_us = b->retry_after_us = 0;
+	b->backoff_until_us = 0;
 	b->backoff_step = 0;
 }
 
@@ -300,6 +312,7 @@
 	if (sent_us < b->process_since_us || until <= b->retry_after_us)
 		return false;
 	b->retry_after_us = until;
+	b->retry_after_sent_us = sent_us;
 	return true;
 }
 
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -74,6 +74,8 @@
 	uint64_t backoff_until_us;
 	/* End of the time for which the server takes no request of this instance. */
 	uint64_t retry_after_us;
+	uint64_t retry_after_sent_us; /* when the request was sent whose response stated it */
+	uint64_t unreachable_us; /* when a connection last could not be made */
 	/* Sums of the reports of all other instances. */
 	unsigned peers_in_flight;
 	unsigned last_reported; /* value of in_flight in this instance's last report */
--- a/tests/unit/test-steer-notice.c
+++ b/tests/unit/test-steer-notice.c
@@ -117,11 +117,11 @@
 	cs_steer_destroy(s);
 }
 
-static void restart_server(struct cs_steer *s, uint64_t now)
+static void start_process(struct cs_steer *s, int64_t started_ms, uint64_t now)
 {
 	struct cs_server_entry e = {.port = 80,
 				    .slots = 4,
-				    .started_ms = 2000,
+				    .started_ms = started_ms,
 				    .addr = "127.0.0.1",
 				    .id = "s1",
 				    .service = "s",
@@ -130,6 +130,11 @@
 	cs_steer_update_server(s, &e, now);
 }
 
+static void restart_server(struct cs_steer *s, uint64_t now)
+{
+	start_process(s, 2000, now);
+}
+
 /* Guards against a new process that is not used because the former one of its id left. */
 static void test_new_process_is_used(void)
 {
@@ -498,6 +503,39 @@
 	cs_steer_destroy(s);
 }
 
+/*
+ * Guards against requests within the Retry-After of a server that has started again and whose first
+ * entry is read after that response; that of the former process ends with it.
+ */
+static void test_retry_after_before_first_entry(void)
+{
+	uint64_t now = MS(10000);
+	struct cs_steer *s = two_servers(now);
+	struct cs_backend *b = backend_of(s, "s1", now);
+	struct cs_steer_decision d;
+
+	/* The former process states one and ends. */
+	g_assert_true(cs_steer_server_retry_after(b, 60000, now, now));
+	restart_server(s, now + MS(100));
+	g_assert_cmpuint(count_sent(s, "s1", 40, now + MS(100)), >, 0);
+	/* Not even a connection can be made to it; then its next process answers. */
+	now += MS(1000);
+	do {
+		fixture_init_request(s, &reqs[1], 0, now);
+		cs_steer_decide(s, &reqs[1], now, &d);
+		g_assert_cmpint(d.verdict, ==, CS_STEER_SEND);
+		cs_steer_attempt_ended(s, &reqs[1], d.u.send.backend,
+				       d.u.send.backend == b ? CS_STEER_UNSENT : CS_STEER_OK, MS(1),
+				       now);
+	} while (d.u.send.backend != b);
+	now += MS(400);
+	g_assert_true(cs_steer_server_retry_after(b, 6000, now - MS(5), now));
+	start_process(s, 3000, now + MS(1000));
+	g_assert_cmpuint(count_sent(s, "s1", 40, now + MS(1000)), ==, 0);
+	g_assert_cmpuint(count_sent(s, "s1", 40, now + MS(6100)), >, 0);
+	cs_steer_destroy(s);
+}
+
 /*
  * Guards against requests that wait or are refused while slots are free, because the server that
  * caches their objects takes none for a time.
@@ -636,6 +674,8 @@
 	g_test_add_func("/steer/limit/all-reported", test_all_limits_reported);
 	g_test_add_func("/steer/limit/slots-used", test_limit_and_slots_used);
 	g_test_add_func("/steer/retry-after/kept", test_retry_after_kept);
+	g_test_add_func("/steer/retry-after/before-first-entry",
+			test_retry_after_before_first_entry);
 	g_test_add_func("/steer/retry-after/slots-used", test_retry_after_and_slots_used);
 	g_test_add_func("/steer/retry-after/refuses-at-once", test_retry_after_refuses_at_once);
 	g_test_add_func("/steer/retry-after/clients-return-later",
