registration: an event older than the last write of the key does not repeat it

An instance that starts reads the key of its former process, which its own write replaces. That event made it write the key a second time, 0.4 s later. Revisions of the store tell which was first.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -260,10 +260,12 @@
 /* Writes the key again with a new lease, after the store was restored from a copy. */
 void registration_repeat(struct registration *r);
 /*
- * The instance's own key was removed (in is NULL) or has another value. If that of a former process
- * replaced it, carried out late by the store, the key is written again; that of a later one stays.
+ * The instance's own key was removed (in is NULL) or written, at a revision of the store. If that
+ * of a former process replaced it, carried out late by the store, the key is written again; that of
+ * a later one stays.
  */
-void registration_key_changed(struct registration *r, const struct platform_instance *in);
+void registration_key_changed(struct registration *r, const struct platform_instance *in,
+			      uint64_t revision);
 /* Revokes the lease, which removes the key. */
 void registration_withdraw(struct registration *r);
 
--- a/src/node/registration.c
+++ b/src/node/registration.c
@@ -30,7 +30,9 @@
 	enum registration_state state;
 	uint64_t lease;
 	uint64_t era; /* of the store, when it granted the lease */
-	bool key_replaced; /* since the last write of the key began */
+	uint64_t key_revision; /* of the last write of the key that succeeded */
+	uint64_t replaced_revision; /* at which the store last had no key, or that of a former
+				       process */
 	struct platform_call *call;
 	struct cs_timer call_timer;
 };
@@ -89,7 +91,6 @@
 	case REGISTRATION_NO_KEY:
 		platform_key_instance(n->settings.instance, key, sizeof(key));
 		value = format_own_entry(n);
-		r->key_replaced = false;
 		r->call = platform_put(n->store, key, value, strlen(value), r->lease, on_put, r);
 		free(value);
 		break;
@@ -136,12 +137,13 @@
 	cs_timer_start(r->node->timers, &r->call_timer, cs_random_u64() % REPEAT_SPREAD_US);
 }
 
-void registration_key_changed(struct registration *r, const struct platform_instance *in)
+void registration_key_changed(struct registration *r, const struct platform_instance *in,
+			      uint64_t revision)
 {
 	if (in != NULL && in->member.boot >= r->node->boot)
 		return;
-	r->key_replaced = true;
-	if (r->state != REGISTRATION_LISTED)
+	r->replaced_revision = revision;
+	if (r->state != REGISTRATION_LISTED || revision <= r->key_revision)
 		return;
 	cs_event(r->node->events, CS_EVENT_IMPORTANT, "instance.key_replaced", "boot=%llu",
 		 in != NULL ? (unsigned long long)in->member.boot : 0ULL);
@@ -162,7 +164,8 @@
 	}
 	switch (resp->status) {
 	case PLATFORM_OK:
-		if (r->key_replaced)
+		r->key_revision = resp->revision;
+		if (r->replaced_revision > r->key_revision)
 			break;
 		r->state = REGISTRATION_LISTED;
 		cs_timer_start(r->node->timers, &r->call_timer, RENEW_INTERVAL_US);
--- a/src/node/store-sync.c
+++ b/src/node/store-sync.c
@@ -275,9 +275,9 @@
 	struct platform_instance in;
 
 	if (it->value == NULL)
-		registration_key_changed(n->registration, NULL);
+		registration_key_changed(n->registration, NULL, it->revision);
 	else if (platform_instance_parse(it->value, it->len, &in))
-		registration_key_changed(n->registration, &in);
+		registration_key_changed(n->registration, &in, it->revision);
 }
 
 static void apply_instance(struct store_sync *ss, const char *name, const struct platform_item *it,
