steer: the check that a request waits for is started at once

A request for a check makes it due now, from queued requests and hedges too; without one, servers are not searched for due checks. When a check takes so long that a request is given to another server, which must be checked as well, it waits for that one.

--- a/lib/steer/admission.c
+++ b/lib/steer/admission.c
@@ -82,6 +82,15 @@
 	return until < latest ? until : latest;
 }
 
+/* The server that was best has not passed its check in time, and another one is checked now. */
+static void extend_wait(const struct cs_steer *s, struct cs_steer_request *req, uint64_t now_us)
+{
+	uint64_t until = wait_until(s, req, now_us);
+
+	if (until > req->until_us)
+		req->until_us = until;
+}
+
 /* Sum of usable slots in the regions that may serve the request. */
 static double allowed_slots(const struct cs_steer *s, const struct cs_steer_service *svc,
 			    const struct cs_steer_request *req)
@@ -295,8 +304,10 @@
 		*server = find_server(s, svc, best, now_us);
 		if (*server != NULL)
 			return best;
-		if (best->awaits_check_us == now_us)
+		if (best->awaits_check_us == now_us) {
+			extend_wait(s, best, now_us);
 			continue;
+		}
 		blocked |= 1ULL << best->region;
 	}
 }
--- a/lib/steer/entries.c
+++ b/lib/steer/entries.c
@@ -57,7 +57,7 @@
 bool entry_take_held(const struct cs_steer *s, struct cs_backend *b, struct cs_server_entry *out,
 		     uint64_t now_us)
 {
-	unsigned age_ms = (unsigned)((now_us - b->held_us) / CS_US_PER_MS);
+	unsigned age_ms;
 
 	if (b->held_until_us == 0 || now_us < b->held_until_us)
 		return false;
@@ -65,6 +65,7 @@
 	if (now_us < s->entries_doubtful_until_us)
 		return false;
 	b->held_until_us = 0;
+	age_ms = (unsigned)((now_us - b->held_us) / CS_US_PER_MS);
 	*out = b->held;
 	out->cold_ms = out->cold_ms > age_ms ? out->cold_ms - age_ms : 0;
 	return true;
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -237,6 +237,7 @@
 	bool restored; /* the store was restored, and its entries were not read since */
 	uint64_t first_revision; /* the lowest one of the store's present state */
 	bool first_read_done; /* the store was read once */
+	bool check_requested; /* since the last cs_steer_take_check_request */
 	/* Until then servers are checked before their first request; 0: there was no outage. */
 	uint64_t verify_until_us;
 	/* Until then servers' entries may be out of date, as no instance reached the store. */
@@ -432,7 +433,7 @@
 /* An entry was put in force; created: the server was not known. */
 void verify_apply_entry(const struct cs_steer *s, struct cs_backend *b, bool created);
 /* True if the server must pass a health check before it gets a request; asks for that check. */
-bool verify_request(const struct cs_steer *s, struct cs_backend *b, uint64_t now_us);
+bool verify_request(struct cs_steer *s, struct cs_backend *b, uint64_t now_us);
 /* True while that check takes so long that requests go to other servers. */
 bool verify_is_late(const struct cs_steer *s, const struct cs_backend *b, uint64_t now_us);
 bool verify_check_is_wanted(const struct cs_steer *s, const struct cs_backend *b, uint64_t now_us);
--- a/lib/steer/steer.h
+++ b/lib/steer/steer.h
@@ -299,11 +299,12 @@
 
 /*
  * Next server that must pass a health check before it is used again, as after connection failures
- * or an evacuation, or that is checked since its entry may be out of date; NULL if none is due. A
- * decision to wait may make one due. The
+ * or an evacuation, or that is checked since its entry may be out of date; NULL if none is due. The
  * caller requests its health path and reports the result to cs_steer_probe_done.
  */
 struct cs_backend *cs_steer_next_probe(struct cs_steer *s, uint64_t now_us);
+/* True if, since the last call, a request began to wait for a health check that is due now. */
+bool cs_steer_take_check_request(struct cs_steer *s);
 const char *cs_backend_health_path(const struct cs_steer *s, const struct cs_backend *b);
 /*
  * Result of a health check. ok: the response came from this server, which is healthy and not
--- a/lib/steer/verify.c
+++ b/lib/steer/verify.c
@@ -47,15 +47,28 @@
 	return is_doubtful(s, b, now_us) && !limits_is_cold(b, now_us);
 }
 
-bool verify_request(const struct cs_steer *s, struct cs_backend *b, uint64_t now_us)
+bool verify_request(struct cs_steer *s, struct cs_backend *b, uint64_t now_us)
 {
 	if (!is_due(s, b, now_us))
 		return false;
-	if (b->check_requested_us == 0)
-		b->check_requested_us = now_us;
+	if (b->check_requested_us > 0)
+		return true;
+	b->check_requested_us = now_us;
+	s->check_requested = true;
+	/* Another instance may check the server for all now and then, but its response is far. */
+	if (b->next_probe_us > now_us)
+		b->next_probe_us = now_us;
 	return true;
 }
 
+bool cs_steer_take_check_request(struct cs_steer *s)
+{
+	bool requested = s->check_requested;
+
+	s->check_requested = false;
+	return requested;
+}
+
 bool verify_is_late(const struct cs_steer *s, const struct cs_backend *b, uint64_t now_us)
 {
 	return b->check_requested_us > 0 && now_us - b->check_requested_us >= CHECK_WAIT_US &&
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -228,6 +228,13 @@
 			       cs_steer_hedge_delay(n->steer, &req->steer_state));
 }
 
+/* Requests wait for these checks, which are not left to the next tick. */
+static void start_requested_checks(struct node *n)
+{
+	if (cs_steer_take_check_request(n->steer))
+		probe_due(n);
+}
+
 static void request_apply_decision(struct request *req, const struct cs_steer_decision *d,
 				   uint64_t now)
 {
@@ -239,8 +246,7 @@
 		break;
 	case CS_STEER_WAIT:
 		req->stage = STAGE_WAITING;
-		/* Of the server that it waits for. */
-		probe_due(n);
+		start_requested_checks(n);
 		if (!cs_timer_active(&n->dispatch_timer))
 			cs_timer_start(n->timers, &n->dispatch_timer, DISPATCH_INTERVAL_US);
 		break;
@@ -268,6 +274,7 @@
 	while ((next = cs_steer_next_waiting(n->steer, now, &d)) != NULL)
 		request_apply_decision(next->arg, &d, now);
 	n->dispatching = false;
+	start_requested_checks(n);
 	if (cs_steer_count_waiting(n->steer) > 0)
 		cs_timer_start(n->timers, &n->dispatch_timer, DISPATCH_INTERVAL_US);
 }
--- a/tests/unit/test-verify.c
+++ b/tests/unit/test-verify.c
@@ -195,11 +195,17 @@
 	slow = cs_steer_next_probe(s, now);
 	g_assert_nonnull(slow);
 	now += MS(100);
+	g_assert_true(cs_steer_take_check_request(s));
 	g_assert_null(next_sent(s, now));
+	g_assert_true(cs_steer_take_check_request(s));
 	b = cs_steer_next_probe(s, now);
 	g_assert_nonnull(b);
 	g_assert_true(b != slow);
-	now += MS(2);
+	/* Past the time for which a request waits for a slot. */
+	now += MS(90);
+	g_assert_null(next_sent(s, now));
+	g_assert_cmpuint(cs_steer_count_waiting(s), ==, 1);
+	now += MS(1);
 	cs_steer_probe_done(s, b, true, 0, now);
 	g_assert_true(next_sent(s, now) == b);
 	/* The check fails; it is repeated, and the server is used when one passes. */
@@ -215,6 +221,29 @@
 	cs_steer_destroy(s);
 }
 
+/*
+ * Guards against a request that is refused because the server that it waits for was just about to
+ * be checked, or not to be, in the turn of checks during an outage.
+ */
+static void test_check_at_once(void)
+{
+	uint64_t now = MS(100000);
+	struct cs_steer *s = start(now);
+	struct cs_backend *b;
+
+	cs_steer_set_store_contact(s, false, now);
+	fixture_add_member(s, "i2", "a1", now);
+	while ((b = cs_steer_next_probe(s, now)) != NULL)
+		cs_steer_probe_done(s, b, false, 0, now);
+	g_assert_null(offer(s, 0, 1, now + MS(1)));
+	g_assert_true(cs_steer_take_check_request(s));
+	b = cs_steer_next_probe(s, now + MS(1));
+	g_assert_nonnull(b);
+	cs_steer_probe_done(s, b, true, 0, now + MS(2));
+	g_assert_true(next_sent(s, now + MS(2)) == b);
+	cs_steer_destroy(s);
+}
+
 /* Guards against a hedge or a repeat that goes to a server whose entry is out of date. */
 static void test_hedge(void)
 {
@@ -313,6 +342,7 @@
 	g_test_add_func("/verify/same-server", test_same_server);
 	g_test_add_func("/verify/others-pass", test_others_pass);
 	g_test_add_func("/verify/slow-check", test_slow_check);
+	g_test_add_func("/verify/check-at-once", test_check_at_once);
 	g_test_add_func("/verify/hedge", test_hedge);
 	g_test_add_func("/verify/stable-neighbour", test_stable_neighbour);
 	g_test_add_func("/verify/ends", test_ends);
