steer: a health check is not counted as a request in flight

Cause: a running check raised in_flight, which keeps the server from being freed, but is also what select.c compares with the slots and what reports tell all other instances. 88 instances that start together check all the servers that they use, and servers of 3 slots seemed full.

Change: probing alone keeps the server from being freed.

Tests: /verify/check-takes-no-slot fails before (1 in flight reported); /verify/removed-during-check finds a use after free with the address sanitizer if neither keeps it.

--- a/lib/steer/servers.c
+++ b/lib/steer/servers.c
@@ -351,7 +351,6 @@
 		    !is_check_due(s, b, now_us))
 			continue;
 		b->probing = true;
-		b->in_flight++; /* keeps it from being freed */
 		b->probe_started_us = now_us;
 		b->next_probe_us = now_us + PROBE_PERIOD_US;
 		return b;
@@ -365,7 +364,6 @@
 	bool was_cold = limits_is_cold(b, now_us);
 
 	b->probing = false;
-	b->in_flight--;
 	if (!ok || b->probe_started_us < b->process_since_us)
 		return false;
 	b->unverified = false;
@@ -400,7 +398,7 @@
 		if (!b->listed && b->usable_until_us > now_us && cs_steer_store_stable(s, now_us))
 			b->usable_until_us = now_us;
 		if (!b->listed && now_us >= b->usable_until_us && b->in_flight == 0 &&
-		    !is_retained(b, now_us))
+		    !b->probing && !is_retained(b, now_us))
 			backend_free(s, b);
 	}
 }
--- a/tests/unit/test-verify.c
+++ b/tests/unit/test-verify.c
@@ -221,6 +221,45 @@
 	cs_steer_destroy(s);
 }
 
+/*
+ * Guards against servers that look busy as all instances check them: after a loss of power, checks
+ * that counted as requests in flight filled the slots of warm servers, and requests were refused.
+ */
+static void test_check_takes_no_slot(void)
+{
+	static struct cs_steer_report r;
+	uint64_t now = MS(100000);
+	struct cs_steer *s = start(now);
+	unsigned i;
+
+	g_assert_null(offer(s, 0, 1, now));
+	g_assert_nonnull(cs_steer_next_probe(s, now));
+	cs_steer_build_report(s, &r, now + MS(1));
+	for (i = 0; i < r.n_rows; i++)
+		g_assert_cmpuint(r.rows[i].in_flight, ==, 0);
+	cs_steer_destroy(s);
+}
+
+/* Guards against a server that is freed while its check runs. */
+static void test_removed_during_check(void)
+{
+	uint64_t now = MS(100000);
+	struct cs_steer *s = start(now);
+	struct cs_backend *b;
+	char id[CS_NAME_MAX];
+
+	g_assert_null(offer(s, 0, 1, now));
+	b = cs_steer_next_probe(s, now);
+	g_assert_nonnull(b);
+	cs_copy(id, sizeof(id), cs_backend_id(b));
+	cs_steer_remove_server(s, id, 0, now);
+	cs_steer_dequeue(s, &reqs[0]);
+	fixture_run(s, &now, now + MS(40000));
+	cs_steer_probe_done(s, b, true, 0, now);
+	cs_steer_tick(s, now + MS(1));
+	cs_steer_destroy(s);
+}
+
 /*
  * Guards against a request that is refused because the server that it waits for was just about to
  * be checked, or not to be, in the turn of checks during an outage.
@@ -342,6 +381,8 @@
 	g_test_add_func("/verify/same-server", test_same_server);
 	g_test_add_func("/verify/others-pass", test_others_pass);
 	g_test_add_func("/verify/slow-check", test_slow_check);
+	g_test_add_func("/verify/check-takes-no-slot", test_check_takes_no_slot);
+	g_test_add_func("/verify/removed-during-check", test_removed_during_check);
 	g_test_add_func("/verify/check-at-once", test_check_at_once);
 	g_test_add_func("/verify/hedge", test_hedge);
 	g_test_add_func("/verify/stable-neighbour", test_stable_neighbour);
