steer: the held entry is kept apart from the fields that selection reads

An entry is some hundred bytes, and lay between fields that are read for each candidate. Comments of unverified and has_former are on one line.

--- a/lib/steer/members.c
+++ b/lib/steer/members.c
@@ -182,8 +182,7 @@
 	struct member *m, *next;
 
 	TAILQ_FOREACH_SAFE(m, &s->members, entry, next) {
-		/* If the clock of its machine has gone back, the key is that of the present
-		 * process. */
+		/* If the clock of its machine has gone back, the key is of the present process. */
 		if (m->has_former && now_us - m->last_seen_us >= ALIVE_TIMEOUT_US)
 			apply_key(s, m, &m->former);
 		if (!m->listed && now_us - m->last_seen_us > UNLISTED_TIMEOUT_US)
--- a/lib/steer/steer-int.h
+++ b/lib/steer/steer-int.h
@@ -51,7 +51,6 @@
 	/* An entry older than info that the store has: when it is believed; 0: there is none. */
 	uint64_t held_until_us;
 	uint64_t held_us; /* when it arrived */
-	struct cs_server_entry held;
 	uint64_t process_since_us; /* when its current process became known */
 	/* The process that stated in a response that it leaves. */
 	bool leaving;
@@ -106,13 +105,13 @@
 	/* The server must pass a health check before it is used. */
 	bool needs_probe;
 	bool probing;
-	/* Its entry is of the first read and may be out of date; a health check or a change ends
-	 * that. */
+	/* Its entry is that of the first read; a health check or a newer entry ends that. */
 	bool unverified;
 	uint64_t check_requested_us; /* since when a request waits for that check; 0: none did */
 	uint64_t probe_required_us; /* when the need last arose */
 	uint64_t probe_started_us;
 	uint64_t next_probe_us;
+	struct cs_server_entry held; /* the entry of held_until_us */
 };
 
 /* Loops over all servers of all services; svc and b are the loop variables. */
