--- a/tests/unit/steer-fixture.c
+++ b/tests/unit/steer-fixture.c
@@ -76,6 +76,33 @@
 	cs_steer_request_init(s, req, &cs_steer_current_document(s)->routes[0], 2500, now);
 }
 
+struct cs_server_entry fixture_make_entry(int64_t started_ms, int64_t sequence)
+{
+	return (struct cs_server_entry){.port = 80,
+					.slots = 4,
+					.started_ms = started_ms,
+					.sequence = sequence,
+					.addr = "127.0.0.1",
+					.id = "s1",
+					.service = "s",
+					.zone = "a1"};
+}
+
+bool fixture_sends(struct cs_steer *s, uint64_t now)
+{
+	struct cs_steer_decision d;
+	struct cs_steer_request req;
+
+	fixture_init_request(s, &req, 1, now);
+	cs_steer_decide(s, &req, now, &d);
+	if (d.verdict != CS_STEER_SEND) {
+		cs_steer_dequeue(s, &req);
+		return false;
+	}
+	cs_steer_attempt_ended(s, &req, d.u.send.backend, CS_STEER_OK, MS(100), now);
+	return true;
+}
+
 void fixture_add_member(struct cs_steer *s, const char *name, const char *zone, uint64_t now)
 {
 	struct cs_steer_member m = {.boot = 1, .ready = true};
--- a/tests/unit/steer-fixture.h
+++ b/tests/unit/steer-fixture.h
@@ -18,6 +18,10 @@
 /* Adds a server of service "s" with 4 slots; cold_ms: time for which it still counts as cold. */
 void fixture_add_server(struct cs_steer *s, const char *id, const char *zone, unsigned cold_ms,
 			uint64_t now);
+/* An entry of the server s1 in zone a1 that is ready and warm. */
+struct cs_server_entry fixture_make_entry(int64_t started_ms, int64_t sequence);
+/* True if a request is sent to a server; it ends at once. */
+bool fixture_sends(struct cs_steer *s, uint64_t now);
 /* Initialises a request on the first route; object: hash of its affinity key, 0 if none. */
 void fixture_init_request(struct cs_steer *s, struct cs_steer_request *req, uint64_t object,
 			  uint64_t now);
--- a/tests/unit/test-entry-order.c
+++ b/tests/unit/test-entry-order.c
@@ -8,31 +8,16 @@
 /* Longer than an older entry is held. */
 #define HOLD_US MS(6500)
 
-static struct cs_steer_request req;
-
-/* An entry of the server s1 that is ready and warm. */
-static struct cs_server_entry make_entry(int64_t started_ms, int64_t sequence)
-{
-	return (struct cs_server_entry){.port = 80,
-					.slots = 4,
-					.started_ms = started_ms,
-					.sequence = sequence,
-					.addr = "127.0.0.1",
-					.id = "s1",
-					.service = "s",
-					.zone = "a1"};
-}
-
 static bool write_ready(struct cs_steer *s, int64_t started_ms, int64_t sequence, uint64_t now)
 {
-	struct cs_server_entry e = make_entry(started_ms, sequence);
+	struct cs_server_entry e = fixture_make_entry(started_ms, sequence);
 
 	return cs_steer_update_server(s, &e, now);
 }
 
 static bool write_draining(struct cs_steer *s, int64_t started_ms, int64_t sequence, uint64_t now)
 {
-	struct cs_server_entry e = make_entry(started_ms, sequence);
+	struct cs_server_entry e = fixture_make_entry(started_ms, sequence);
 
 	e.draining = true;
 	return cs_steer_update_server(s, &e, now);
@@ -48,17 +33,8 @@
 
 static bool is_used(struct cs_steer *s, uint64_t now)
 {
-	struct cs_steer_decision d;
-
 	cs_steer_tick(s, now);
-	fixture_init_request(s, &req, 1, now);
-	cs_steer_decide(s, &req, now, &d);
-	if (d.verdict != CS_STEER_SEND) {
-		cs_steer_dequeue(s, &req);
-		return false;
-	}
-	cs_steer_attempt_ended(s, &req, d.u.send.backend, CS_STEER_OK, MS(100), now);
-	return true;
+	return fixture_sends(s, now);
 }
 
 /* Guards against a write that the store carries out late and that takes back that a server drains. */
@@ -187,7 +163,7 @@
 static bool write_cold(struct cs_steer *s, int64_t started_ms, int64_t sequence, unsigned cold_ms,
 		       uint64_t now)
 {
-	struct cs_server_entry e = make_entry(started_ms, sequence);
+	struct cs_server_entry e = fixture_make_entry(started_ms, sequence);
 
 	e.cold_ms = cold_ms;
 	return cs_steer_update_server(s, &e, now);
@@ -236,7 +212,7 @@
 	complete_checks(s, 0, now);
 	g_assert_true(is_used(s, now));
 	/* The new process is the known one now. */
-	e = make_entry(2000, sequence);
+	e = fixture_make_entry(2000, sequence);
 	e.draining = true;
 	g_assert_true(cs_steer_update_server(s, &e, now));
 	g_assert_false(is_used(s, now));
@@ -265,7 +241,8 @@
 		s = create(now);
 		for (i = 0; i < ENTRIES; i++) {
 			/* Of two processes. */
-			e[i] = make_entry(i < ENTRIES / 2 ? 2000 : 3000, 1 + i % (ENTRIES / 2));
+			e[i] = fixture_make_entry(i < ENTRIES / 2 ? 2000 : 3000,
+						  1 + i % (ENTRIES / 2));
 			e[i].draining = cs_rng_below(&rng, 2);
 		}
 		newest = cs_rng_below(&rng, ENTRIES);
--- a/tests/unit/test-steer-restored.c
+++ b/tests/unit/test-steer-restored.c
@@ -7,22 +7,13 @@
 /* Longer than an entry of a server that is gone stays in a restored store. */
 #define HOLD_US MS(6500)
 
-static struct cs_steer_request req;
-
 /* Writes an entry of the server s1; true if it is believed. */
 static bool write_entry(struct cs_steer *s, int64_t started_ms, int64_t sequence, bool draining,
 			uint64_t now)
 {
-	struct cs_server_entry e = {.port = 80,
-				    .slots = 4,
-				    .started_ms = started_ms,
-				    .sequence = sequence,
-				    .draining = draining,
-				    .addr = "127.0.0.1",
-				    .id = "s1",
-				    .service = "s",
-				    .zone = "a1"};
+	struct cs_server_entry e = fixture_make_entry(started_ms, sequence);
 
+	e.draining = draining;
 	return cs_steer_update_server(s, &e, now);
 }
 
@@ -37,20 +28,6 @@
 	return s;
 }
 
-static bool is_used(struct cs_steer *s, uint64_t now)
-{
-	struct cs_steer_decision d;
-
-	fixture_init_request(s, &req, 1, now);
-	cs_steer_decide(s, &req, now, &d);
-	if (d.verdict != CS_STEER_SEND) {
-		cs_steer_dequeue(s, &req);
-		return false;
-	}
-	cs_steer_attempt_ended(s, &req, d.u.send.backend, CS_STEER_OK, MS(100), now);
-	return true;
-}
-
 /* Reads all entries; s1 has the given one, or none if started_ms is 0. */
 static void full_read(struct cs_steer *s, int64_t started_ms, int64_t sequence, uint64_t now)
 {
@@ -86,12 +63,12 @@
 	for (i = 0; i < G_N_ELEMENTS(entries); i++) {
 		now = MS(100000);
 		s = one_server(now);
-		g_assert_true(is_used(s, now));
+		g_assert_true(fixture_sends(s, now));
 		remove_and_restore(s, &now, MS(5000));
 		full_read(s, entries[i].started_ms, entries[i].sequence, now);
-		g_assert_cmpint(is_used(s, now), ==, entries[i].used);
+		g_assert_cmpint(fixture_sends(s, now), ==, entries[i].used);
 		fixture_run(s, &now, now + HOLD_US);
-		g_assert_true(is_used(s, now));
+		g_assert_true(fixture_sends(s, now));
 		cs_steer_destroy(s);
 	}
 }
@@ -106,12 +83,12 @@
 	full_read(s, 2000, 5, now);
 	fixture_run(s, &now, now + MS(1000));
 	cs_steer_remove_server(s, "s1", MS(1000), now);
-	g_assert_false(is_used(s, now));
+	g_assert_false(fixture_sends(s, now));
 	fixture_run(s, &now, now + HOLD_US);
-	g_assert_false(is_used(s, now));
+	g_assert_false(fixture_sends(s, now));
 	/* Only the read that follows the restoration brings old entries. */
 	full_read(s, 2000, 5, now);
-	g_assert_true(is_used(s, now));
+	g_assert_true(fixture_sends(s, now));
 	cs_steer_destroy(s);
 }
 
@@ -123,9 +100,9 @@
 
 	remove_and_restore(s, &now, MS(28000));
 	full_read(s, 2000, 5, now);
-	g_assert_false(is_used(s, now));
+	g_assert_false(fixture_sends(s, now));
 	fixture_run(s, &now, now + HOLD_US);
-	g_assert_true(is_used(s, now));
+	g_assert_true(fixture_sends(s, now));
 	cs_steer_destroy(s);
 }
 
@@ -137,12 +114,12 @@
 
 	cs_steer_store_restored(s);
 	full_read(s, 0, 0, now);
-	g_assert_true(is_used(s, now));
+	g_assert_true(fixture_sends(s, now));
 	write_entry(s, 2000, 6, true, now);
-	g_assert_false(is_used(s, now));
+	g_assert_false(fixture_sends(s, now));
 	cs_steer_store_restored(s);
 	full_read(s, 2000, 5, now);
-	g_assert_false(is_used(s, now));
+	g_assert_false(fixture_sends(s, now));
 	cs_steer_destroy(s);
 }
 
