--- a/tests/unit/steer-fleet.h
+++ b/tests/unit/steer-fleet.h
@@ -44,9 +44,9 @@
 extern unsigned loss_pct;
 /* True if messages from one instance to another are lost; NULL by default and after fleet_create. */
 extern bool (*fleet_is_cut)(unsigned from, unsigned to);
-extern const char *home_region;
+extern const char *home_region; /* of all requests; NULL by default */
 /* Instances that start read the servers from the store, and may doubt what they read. */
-extern bool fleet_reads_store; /* of all requests; NULL by default */
+extern bool fleet_reads_store; /* false by default */
 extern unsigned server_zones; /* number of zones with servers, the first ones; ZONES by default */
 extern uint64_t now;
 extern unsigned in_flight[512]; /* requests in flight at each server, as of fleet_create */
